Set down the frame: kernel with slots, error kinds, ranked locks, worker pool, settings, wire

Cause: first work on an empty repository; the users ask for one shape in the whole code base. Change: packages kernel, fault, rank, pool, settings, gate, keys, wire with the transports quicline (QUIC, mutual TLS) and memory (pipes with cuts). Conclusion: builds; the path from end to end follows on this frame.

--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,163 @@
+// Package gate opens HTTP listeners with limits.
+//
+// A gate is one listening address, its handler and the limits that protect it
+// from what is outside: header size and time, idle time, and the number of
+// connections. Stop lets running requests end.
+package gate
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/settings"
+)
+
+type (
+	// Limits bounds what a listener accepts.
+	Limits struct {
+		Connections int               `json:"connections" range:"1..1000000"`
+		HeaderBytes int               `json:"headerBytes" range:"1024..1048576"`
+		BodyBytes   int64             `json:"bodyBytes" range:"1024..268435456"`
+		HeaderTime  settings.Duration `json:"headerTime" range:"100ms..5m"`
+		BodyTime    settings.Duration `json:"bodyTime" range:"100ms..1h"`
+		IdleTime    settings.Duration `json:"idleTime" range:"1s..1h"`
+	}
+
+	// Gate is an open listener. Create it with New.
+	Gate struct {
+		server   *http.Server
+		listener net.Listener
+		ended    chan struct{}
+	}
+
+	// timedBody lifts the connection's read deadline once the body has ended,
+	// because the deadline would cancel the request that is being answered.
+	timedBody struct {
+		io.ReadCloser
+		control *http.ResponseController
+	}
+
+	countedListener struct {
+		net.Listener
+		free chan struct{}
+	}
+
+	countedConn struct {
+		net.Conn
+		free chan struct{}
+		once chan struct{}
+	}
+)
+
+// DefaultLimits returns the limits that hold where settings say nothing.
+func DefaultLimits() Limits {
+	return Limits{
+		Connections: 10_000,
+		HeaderBytes: 64 << 10,
+		BodyBytes:   8 << 20,
+		HeaderTime:  settings.Duration(10 * time.Second),
+		BodyTime:    settings.Duration(time.Minute),
+		IdleTime:    settings.Duration(2 * time.Minute),
+	}
+}
+
+// New listens on address and serves handler there. With a TLS configuration
+// the listener speaks TLS.
+func New(address string, handler http.Handler, limits Limits, security *tls.Config) (*Gate, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, fault.No, "listening on %s: %v", address, err)
+	}
+	counted := &countedListener{Listener: listener, free: make(chan struct{}, limits.Connections)}
+	g := &Gate{
+		listener: counted,
+		ended:    make(chan struct{}),
+		server: &http.Server{
+			Handler:           bounded(handler, limits),
+			ReadHeaderTimeout: limits.HeaderTime.Std(),
+			IdleTimeout:       limits.IdleTime.Std(),
+			MaxHeaderBytes:    limits.HeaderBytes,
+		},
+	}
+	if security != nil {
+		g.listener = tls.NewListener(counted, security)
+	}
+	go g.run()
+	return g, nil
+}
+
+// Address returns the address that the gate listens on.
+func (g *Gate) Address() string { return g.listener.Addr().String() }
+
+// Stop refuses new connections and returns when running requests have ended
+// or ctx is done; then what is left is cut.
+func (g *Gate) Stop(ctx context.Context) error {
+	err := g.server.Shutdown(ctx)
+	if err != nil {
+		_ = g.server.Close()
+	}
+	<-g.ended
+	return err
+}
+
+// Close cuts every connection at once.
+func (g *Gate) Close() {
+	_ = g.server.Close()
+	<-g.ended
+}
+
+func (g *Gate) run() {
+	defer close(g.ended)
+	err := g.server.Serve(g.listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		_ = g.server.Close()
+	}
+}
+
+func bounded(handler http.Handler, limits Limits) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		if r.ContentLength != 0 {
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(limits.BodyTime.Std()))
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// Accept waits for a place among the allowed connections before it accepts.
+func (l *countedListener) Accept() (net.Conn, error) {
+	l.free <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.free
+		return nil, err
+	}
+	once := make(chan struct{}, 1)
+	once <- struct{}{}
+	return &countedConn{Conn: conn, free: l.free, once: once}, nil
+}
+
+func (c *countedConn) Close() error {
+	select {
+	case <-c.once:
+		<-c.free
+	default:
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,210 @@
+// Package kernel is the frame that every process of the system runs in.
+//
+// The kernel owns what all processes share: the slots in which plug-ins
+// register themselves, the settings of a process, its log, metrics and worker
+// pool, its start and its graceful stop. It imports no plug-in. A process is
+// the kernel and one Role, and a role finds its own parts (transport, routing
+// policy, engine dialect and so on) in slots that the packages using them
+// declare. Adding any of these touches no file of this package.
+package kernel
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/gate"
+	"endivedeck.example/pool"
+	"endivedeck.example/settings"
+)
+
+const (
+	defaultWorkers  = 256
+	defaultStopTime = 30 * time.Second
+)
+
+// Roles is the slot of process roles.
+var Roles = NewSlot[RoleMaker]("role")
+
+type (
+	// Role is what a process does.
+	Role interface {
+		// Start begins to serve and returns once the role is ready or has
+		// failed. The role goes on until Stop; ctx bounds the start alone.
+		Start(ctx context.Context) error
+
+		// Stop ends the role without cutting what it has accepted: new work
+		// is refused, running work ends or is handed over. When ctx is done
+		// first, what is left is cut and an error says so.
+		Stop(ctx context.Context) error
+	}
+
+	// Failing is implemented by a role that can fail after its start.
+	Failing interface {
+		// Failed returns a channel that yields the error that ended the role.
+		Failed() <-chan error
+	}
+
+	// RoleMaker builds a role from its host.
+	RoleMaker func(*Host) (Role, error)
+
+	// Process holds the settings that every process has. Members that are
+	// objects and have no field here are the sections of plug-ins.
+	Process struct {
+		Role          string                      `json:"role" need:"yes"`
+		Instance      string                      `json:"instance" need:"yes"`
+		Region        string                      `json:"region"`
+		FailureDomain string                      `json:"failureDomain" need:"yes"`
+		Metrics       string                      `json:"metrics"`
+		Workers       int                         `json:"workers" range:"1..65536"`
+		Backlog       int                         `json:"backlog" range:"0..1048576"`
+		StopTime      settings.Duration           `json:"stopTime" range:"100ms..1h"`
+		LogLevel      string                      `json:"logLevel"`
+		Sections      map[string]settings.Section `json:"*"`
+	}
+
+	// Host is what the kernel gives to a role.
+	Host struct {
+		Process Process
+		Log     *logrus.Entry
+		Metrics *metrics.Set
+		Pool    *pool.Pool
+	}
+
+	// Kernel runs one role. Create it with New.
+	Kernel struct {
+		host   *Host
+		role   Role
+		report *gate.Gate
+	}
+)
+
+// Load reads a process's settings file.
+func Load(file string) (Process, error) {
+	process := DefaultProcess()
+	err := settings.Load(file, &process)
+	if err != nil {
+		return process, err
+	}
+	for name, section := range process.Sections {
+		if !allowed(process.Role, name) {
+			return process, fault.New(fault.Malformed, fault.No, "%s:%d: %s: no such field", section.File, section.Line, name)
+		}
+	}
+	return process, nil
+}
+
+// DefaultProcess returns the settings that hold where a file says nothing.
+func DefaultProcess() Process {
+	return Process{
+		Workers:  defaultWorkers,
+		Backlog:  defaultWorkers,
+		StopTime: settings.Duration(defaultStopTime),
+		LogLevel: "info",
+	}
+}
+
+// New builds the role that the settings name. Log lines go to out.
+func New(process Process, out io.Writer) (*Kernel, error) {
+	log, err := newLog(process, out)
+	if err != nil {
+		return nil, err
+	}
+	maker, err := Roles.Find(process.Role)
+	if err != nil {
+		return nil, err
+	}
+	host := &Host{
+		Process: process,
+		Log:     log,
+		Metrics: metrics.NewSet(),
+		Pool:    pool.New(process.Workers, process.Backlog),
+	}
+	role, err := maker(host)
+	if err != nil {
+		return nil, err
+	}
+	return &Kernel{host: host, role: role}, nil
+}
+
+// Role returns the role that the kernel runs.
+func (k *Kernel) Role() Role { return k.role }
+
+// Start opens the metrics listener and starts the role.
+func (k *Kernel) Start(ctx context.Context) error {
+	if address := k.host.Process.Metrics; address != "" {
+		report, err := gate.New(address, http.HandlerFunc(k.serveMetrics), gate.DefaultLimits(), nil)
+		if err != nil {
+			return err
+		}
+		k.report = report
+	}
+	if err := k.role.Start(ctx); err != nil {
+		return err
+	}
+	k.host.Log.Info("started")
+	return nil
+}
+
+// Wait returns when ctx is done or the role has failed, with its error.
+func (k *Kernel) Wait(ctx context.Context) error {
+	var failed <-chan error
+	if role, ok := k.role.(Failing); ok {
+		failed = role.Failed()
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		k.host.Log.WithError(err).Error("failed")
+		return err
+	}
+}
+
+// Stop stops the role, then the worker pool, then the metrics listener,
+// within the settings' stop time.
+func (k *Kernel) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), k.host.Process.StopTime.Std())
+	defer cancel()
+	k.host.Log.Info("stopping")
+	err := k.role.Stop(ctx)
+	if poolErr := k.host.Pool.Stop(ctx); err == nil {
+		err = poolErr
+	}
+	if k.report != nil {
+		_ = k.report.Stop(ctx)
+	}
+	k.host.Log.Info("stopped")
+	return err
+}
+
+func (k *Kernel) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/metrics" {
+		http.NotFound(w, r)
+		return
+	}
+	k.host.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func newLog(process Process, out io.Writer) (*logrus.Entry, error) {
+	level, err := logrus.ParseLevel(process.LogLevel)
+	if err != nil {
+		return nil, fault.New(fault.Malformed, fault.No, "logLevel: %v", err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	fields := logrus.Fields{
+		"role":     process.Role,
+		"instance": process.Instance,
+		"domain":   process.FailureDomain,
+	}
+	return logger.WithFields(fields), nil
+}
