--- /dev/null
+++ b/contract/book.go
@@ -0,0 +1,158 @@
+package contract
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"endivedeck.example/fault"
+)
+
+const (
+	rememberTime = 24 * time.Hour
+	shareSlack   = 1e-9
+)
+
+type (
+	// Change is an operator's wish to put or retire a contract.
+	Change struct {
+		Request  string    `cbor:"1,keyasint"` // names the wish, so that it can be sent again
+		Customer string    `cbor:"2,keyasint"`
+		Replaces uint64    `cbor:"3,keyasint"` // the version that it replaces; 0 for a new customer
+		Contract *Contract `cbor:"4,keyasint,omitempty"`
+		At       time.Time `cbor:"5,keyasint"` // the leader's time of day
+	}
+
+	// Outcome is what became of a Change. With fault.Conflict, Current is
+	// the contract that stands.
+	Outcome struct {
+		Error   *fault.Error `cbor:"1,keyasint,omitempty"`
+		Current Accepted     `cbor:"2,keyasint"`
+	}
+
+	// Remembered is the outcome of a change that may be sent again.
+	Remembered struct {
+		Outcome Outcome   `cbor:"1,keyasint"`
+		Digest  string    `cbor:"2,keyasint"` // of the change, so that an id can't stand for two
+		At      time.Time `cbor:"3,keyasint"`
+	}
+
+	// Book is the replicated table of contracts: the same changes in the
+	// same order give the same book. It isn't safe for concurrent use.
+	Book struct {
+		Revision  uint64                `cbor:"1,keyasint"` // of the newest change
+		Contracts map[string]Accepted   `cbor:"2,keyasint"` // by customer
+		Requests  map[string]Remembered `cbor:"3,keyasint"` // by request id
+		Forgotten time.Time             `cbor:"4,keyasint"` // when requests were last forgotten
+	}
+)
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{Contracts: map[string]Accepted{}, Requests: map[string]Remembered{}}
+}
+
+// Apply carries out the change that stands at the given index of the log.
+func (b *Book) Apply(index uint64, change Change) Outcome {
+	b.forget(change.At)
+	digest := digestOf(change)
+	if earlier, ok := b.Requests[change.Request]; ok && change.Request != "" {
+		if earlier.Digest == digest {
+			return earlier.Outcome
+		}
+		return refused(fault.Conflict, "the request id was used for another change", earlier.Outcome.Current)
+	}
+	outcome := b.change(index, change)
+	if change.Request != "" {
+		b.Requests[change.Request] = Remembered{Outcome: outcome, Digest: digest, At: change.At}
+	}
+	return outcome
+}
+
+func (b *Book) change(index uint64, change Change) Outcome {
+	current := b.Contracts[change.Customer]
+	if change.Replaces != current.Version {
+		return refused(fault.Conflict, "the change doesn't replace the version that stands", current)
+	}
+	next := Accepted{Contract: current.Contract, Version: current.Version + 1, Revision: index, Retired: true}
+	if change.Contract != nil {
+		next.Contract = *change.Contract
+		next.Retired = false
+	}
+	if change.Contract == nil && (current.Retired || current.Version == 0) {
+		return refused(fault.NotFound, "there is no contract to retire", current)
+	}
+	if err := b.fits(next); err != nil {
+		return refused(err.Kind, err.Text, current)
+	}
+	b.Contracts[change.Customer] = next
+	b.Revision = index
+	return Outcome{Current: next}
+}
+
+// fits checks a contract against the others: shares add up to one at most,
+// and a key belongs to one customer.
+func (b *Book) fits(next Accepted) *fault.Error {
+	if next.Retired {
+		return nil
+	}
+	shares := next.Contract.Share
+	for customer, other := range b.Contracts {
+		if other.Retired || customer == next.Contract.Customer {
+			continue
+		}
+		shares += other.Contract.Share
+		for _, key := range next.Contract.Keys {
+			if slices.Contains(other.Contract.Keys, key) {
+				return &fault.Error{Kind: fault.Conflict, Ran: fault.No, Text: "a key belongs to another customer"}
+			}
+		}
+	}
+	if shares > 1+shareSlack {
+		return &fault.Error{Kind: fault.Conflict, Ran: fault.No, Text: "the shares of all contracts would add up to more than the fleet"}
+	}
+	return nil
+}
+
+// Since returns the contracts that changed after the given revision, the
+// earliest change first.
+func (b *Book) Since(revision uint64) []Accepted {
+	if revision >= b.Revision {
+		return nil
+	}
+	var changed []Accepted
+	for _, accepted := range b.Contracts {
+		if accepted.Revision > revision {
+			changed = append(changed, accepted)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Accepted) int { return int(a.Revision) - int(b.Revision) })
+	return changed
+}
+
+// List returns all contracts that aren't retired, by customer.
+func (b *Book) List() []Accepted {
+	var list []Accepted
+	for _, customer := range slices.Sorted(maps.Keys(b.Contracts)) {
+		if accepted := b.Contracts[customer]; !accepted.Retired {
+			list = append(list, accepted)
+		}
+	}
+	return list
+}
+
+// forget drops the outcomes that are older than rememberTime. It looks at
+// most once in a sixth of it, by the times in the log alone.
+func (b *Book) forget(now time.Time) {
+	if now.Sub(b.Forgotten) < rememberTime/6 {
+		return
+	}
+	b.Forgotten = now
+	maps.DeleteFunc(b.Requests, func(_ string, r Remembered) bool {
+		return now.Sub(r.At) > rememberTime
+	})
+}
+
+func refused(kind fault.Kind, text string, current Accepted) Outcome {
+	return Outcome{Error: &fault.Error{Kind: kind, Ran: fault.No, Text: text}, Current: current}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,263 @@
+// Package control is the role of the few instances that have a disk.
+//
+// Control instances are replicas of one log, which holds contracts, announced
+// changes and the record of orders that may not be repeated. The leader grants
+// configuration leases to entries and sidecars, tells them what is new, and
+// answers operators; the other instances send callers on to it.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/gate"
+	"endivedeck.example/journal"
+	"endivedeck.example/kernel"
+	"endivedeck.example/message"
+	"endivedeck.example/quorum"
+	"endivedeck.example/wire"
+)
+
+const (
+	roleName     = "control"
+	proposalTime = 3 * time.Second
+)
+
+var (
+	_ kernel.Role    = (*Control)(nil)
+	_ kernel.Failing = (*Control)(nil)
+)
+
+type (
+	// Settings is the section "control" of a control instance's settings.
+	Settings struct {
+		Listen    string      `json:"listen" need:"yes"`    // address for other processes
+		Operators string      `json:"operators" need:"yes"` // address for operators
+		Keys      []Operator  `json:"operatorKeys"`
+		Data      string      `json:"data" need:"yes"`     // the data folder
+		Founders  []Founder   `json:"founders" need:"yes"` // all control instances of the first day, this one too
+		Transport string      `json:"transport"`
+		Limits    gate.Limits `json:"limits"`
+		Snapshot  uint64      `json:"snapshotEntries" range:"100..10000000"`
+	}
+
+	// Operator is somebody who may use the operators' interface.
+	Operator struct {
+		Name string `json:"name" need:"yes"`
+		Hash string `json:"hash" need:"yes"` // SHA-256 of the operator's key, in hex
+	}
+
+	// Founder is a control instance of the first day.
+	Founder struct {
+		Instance string `json:"instance" need:"yes"`
+		Address  string `json:"address" need:"yes"`
+	}
+
+	// Control is a running control instance.
+	Control struct {
+		host     *kernel.Host
+		settings Settings
+		log      *logrus.Entry
+		client   *wire.Client
+		listener wire.Listener
+		server   *wire.Server
+		gate     *gate.Gate
+		folder   *journal.Folder
+		journal  *journal.Journal
+		state    *State
+		replica  *quorum.Replica
+		peers    *peers
+		holders  *holders
+		founding *founding
+		timing   quorum.Timing
+		failed   chan error
+		stop     context.CancelFunc
+	}
+)
+
+func init() {
+	kernel.Roles.Register(roleName, build)
+	kernel.AllowSection(roleName, roleName)
+}
+
+// DefaultSettings returns the settings that hold where a file says nothing.
+func DefaultSettings() Settings {
+	return Settings{Transport: "quic", Limits: gate.DefaultLimits(), Snapshot: 20_000}
+}
+
+func build(host *kernel.Host) (kernel.Role, error) {
+	settings := DefaultSettings()
+	if err := host.Section(roleName, &settings); err != nil {
+		return nil, err
+	}
+	maker, err := wire.Transports.Find(settings.Transport)
+	if err != nil {
+		return nil, err
+	}
+	transport, err := maker(host)
+	if err != nil {
+		return nil, err
+	}
+	return New(host, settings, transport)
+}
+
+// New returns a control instance that speaks to other processes through
+// transport. It serves nothing before Start.
+func New(host *kernel.Host, settings Settings, transport wire.Transport) (*Control, error) {
+	if len(settings.Founders) == 0 {
+		return nil, fault.New(fault.Malformed, fault.No, "control.founders: the field is needed")
+	}
+	listener, err := transport.Listen(settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{
+		host:     host,
+		settings: settings,
+		log:      host.Log,
+		client:   wire.NewClient(transport),
+		listener: listener,
+		state:    NewState(),
+		timing:   quorum.DefaultTiming(),
+		failed:   make(chan error, 1),
+	}
+	c.peers = newPeers(c.client, host.Log)
+	c.holders = newHolders(c)
+	c.state.Watch(c.holders)
+	return c, nil
+}
+
+// Start implements kernel.Role. An instance with an empty data folder founds
+// the group together with the other founders, or joins the one that is there.
+func (c *Control) Start(ctx context.Context) error {
+	folder, err := journal.NewFolder(c.settings.Data)
+	if err != nil {
+		return err
+	}
+	c.folder = folder
+	identity, known, err := journal.ReadIdentity(folder)
+	if err != nil {
+		return err
+	}
+	j, state, err := journal.New(folder)
+	if err != nil {
+		return err
+	}
+	c.journal = j
+	c.founding = newFounding(c, identity, known, state)
+	running, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.server = wire.NewServer(c.listener, c.host.Pool, c.handlers())
+	if err := c.openGate(); err != nil {
+		return err
+	}
+	if known && state.Snapshot.Index+uint64(len(state.Entries)) > 0 {
+		return c.startReplica(running, identity, state)
+	}
+	go c.founding.run(running)
+	return nil
+}
+
+// startReplica takes part in the group under the given identity.
+func (c *Control) startReplica(ctx context.Context, identity journal.Identity, state quorum.State) error {
+	self := quorum.Member{ID: identity.ID, Instance: identity.Instance, Address: c.settings.Listen}
+	c.peers.start(ctx, self)
+	replica, err := quorum.New(quorum.Options{
+		ID:       identity.ID,
+		Timing:   c.timing,
+		State:    state,
+		Keeper:   c.journal,
+		Machine:  c.state,
+		Sender:   c.peers,
+		Seed:     uint64(time.Now().UnixNano()),
+		Snapshot: c.settings.Snapshot,
+	})
+	if err != nil {
+		return err
+	}
+	c.founding.began(replica)
+	w := &warden{control: c, replica: replica}
+	go w.run(ctx)
+	return nil
+}
+
+// Failed implements kernel.Failing. A disk that fails ends the instance.
+func (c *Control) Failed() <-chan error { return c.failed }
+
+// Stop implements kernel.Role. Calls that are open are answered first.
+func (c *Control) Stop(ctx context.Context) error {
+	c.holders.stop()
+	if c.gate != nil {
+		_ = c.gate.Stop(ctx)
+	}
+	c.stop()
+	c.peers.wait()
+	err := c.server.Stop(ctx)
+	if replica := c.current(); replica != nil {
+		replica.Stop()
+	}
+	c.client.Close()
+	if c.journal != nil {
+		_ = c.journal.Close()
+	}
+	_ = c.folder.Close()
+	return err
+}
+
+// OperatorsAddress returns the address of the operators' interface.
+func (c *Control) OperatorsAddress() string { return c.gate.Address() }
+
+// current returns the replica, or nil before the instance takes part.
+func (c *Control) current() *quorum.Replica {
+	if c.founding == nil {
+		return nil
+	}
+	return c.founding.replica.Load()
+}
+
+// leading returns the replica when it leads by what it knows now; otherwise
+// an error that sends the caller to the leader.
+func (c *Control) leading(now time.Time) (*quorum.Replica, quorum.Lead, error) {
+	replica := c.current()
+	if replica == nil {
+		return nil, quorum.Lead{}, fault.New(fault.Unavailable, fault.No, "this control instance doesn't take part yet")
+	}
+	lead := replica.Lead()
+	if !lead.Leading || now.Sub(lead.Confirmed) > c.timing.Election {
+		return nil, lead, fault.Elsewhere(lead.Leader.Address, "this control instance doesn't lead")
+	}
+	return replica, lead, nil
+}
+
+// propose puts a command into the log and returns what came of it.
+func (c *Control) propose(ctx context.Context, command Command) (quorum.Result, error) {
+	replica, _, err := c.leading(time.Now())
+	if err != nil {
+		return quorum.Result{}, err
+	}
+	stamp(&command, time.Now())
+	text, err := wire.Encode(command)
+	if err != nil {
+		return quorum.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTime)
+	defer cancel()
+	return replica.Propose(ctx, text)
+}
+
+func (c *Control) handlers() map[string]wire.Handler {
+	return map[string]wire.Handler{
+		message.MethodRenew:    wire.HandlerFunc(c.holders.renew),
+		message.MethodRelease:  wire.HandlerFunc(c.holders.release),
+		message.MethodBegin:    wire.HandlerFunc(c.begin),
+		message.MethodFinish:   wire.HandlerFunc(c.finish),
+		message.MethodReport:   wire.HandlerFunc(c.report),
+		message.MethodOperate:  wire.HandlerFunc(c.operate),
+		message.MethodQuorum:   wire.HandlerFunc(c.deliver),
+		message.MethodFounding: wire.HandlerFunc(c.founding.answer),
+		message.MethodJoin:     wire.HandlerFunc(c.join),
+	}
+}
--- /dev/null
+++ b/control/founding.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync/atomic"
+	"time"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/journal"
+	"endivedeck.example/message"
+	"endivedeck.example/quorum"
+	"endivedeck.example/rank"
+	"endivedeck.example/wire"
+)
+
+const (
+	foundingPause = 100 * time.Millisecond
+	foundingAsk   = time.Second
+	joinPause     = 300 * time.Millisecond
+	founderSuffix = "#1"
+	nonceBytes    = 6
+)
+
+// founding decides under which identity an instance takes part.
+//
+// The group is founded once, by all founders together, while none of them has
+// ever voted or heard a leader. An instance that finds a founder further on
+// than that has lost its disk, or is new: it takes an identity that was never
+// used and asks to join, because under its old one it could vote twice.
+type founding struct {
+	control *Control
+	state   quorum.State
+	replica atomic.Pointer[quorum.Replica]
+
+	mu       rank.Mutex
+	identity journal.Identity
+	founded  bool
+}
+
+func newFounding(c *Control, identity journal.Identity, founded bool, state quorum.State) *founding {
+	return &founding{
+		control:  c,
+		state:    state,
+		mu:       rank.New(rank.Control),
+		identity: identity,
+		founded:  founded,
+	}
+}
+
+// run ends once the instance takes part.
+func (f *founding) run(ctx context.Context) {
+	if err := f.takePart(ctx); err != nil && ctx.Err() == nil {
+		f.control.failed <- err
+	}
+}
+
+func (f *founding) takePart(ctx context.Context) error {
+	if !f.known() {
+		join, err := f.survey(ctx, false)
+		if err != nil {
+			return err
+		}
+		if join {
+			return f.join(ctx)
+		}
+		if err := f.adopt(f.control.host.Process.Instance + founderSuffix); err != nil {
+			return err
+		}
+	}
+	if !f.isFounder() {
+		return f.join(ctx)
+	}
+	if _, err := f.survey(ctx, true); err != nil {
+		return err
+	}
+	f.state.Snapshot.Members = f.founders()
+	if err := f.control.journal.Install(f.state.Snapshot, f.state.Ballot, f.state.Entries); err != nil {
+		return err
+	}
+	return f.control.startReplica(ctx, f.identity, f.state)
+}
+
+// survey asks the other founders until all have answered that they are as
+// far as is needed, and reports whether one is so far on that this instance
+// must join.
+func (f *founding) survey(ctx context.Context, wantFounded bool) (join bool, err error) {
+	for {
+		ready := true
+		for _, other := range f.control.settings.Founders {
+			if other.Instance == f.control.host.Process.Instance {
+				continue
+			}
+			answer, err := f.ask(ctx, other)
+			if err == nil && answer.Term > 0 {
+				return true, nil
+			}
+			if err != nil || wantFounded && !answer.Founded {
+				ready = false
+			}
+		}
+		if ready {
+			return false, nil
+		}
+		if !sleep(ctx, foundingPause) {
+			return false, ctx.Err()
+		}
+	}
+}
+
+func (f *founding) ask(ctx context.Context, other Founder) (message.Founding, error) {
+	ctx, cancel := context.WithTimeout(ctx, foundingAsk)
+	defer cancel()
+	var answer message.Founding
+	err := f.control.client.Ask(ctx, other.Address, message.MethodFounding, message.Nothing{}, &answer)
+	return answer, err
+}
+
+// answer tells another founder how far this instance is.
+func (f *founding) answer(x *wire.Exchange) {
+	f.mu.Lock()
+	answer := message.Founding{Instance: f.control.host.Process.Instance, Founded: f.founded}
+	answer.Term = f.state.Ballot.Term
+	f.mu.Unlock()
+	if replica := f.replica.Load(); replica != nil {
+		answer.Term = max(answer.Term, replica.Lead().Term)
+	}
+	x.Reply(answer)
+}
+
+// join takes a new identity and asks to be taken in until a leader has it.
+func (f *founding) join(ctx context.Context) error {
+	if !f.known() {
+		if err := f.adopt(f.control.host.Process.Instance + "#" + nonce()); err != nil {
+			return err
+		}
+	}
+	f.control.log.WithField("identity", f.identity.ID).Warn("joining under a new identity")
+	if err := f.control.startReplica(ctx, f.identity, f.state); err != nil {
+		return err
+	}
+	member := quorum.Member{ID: f.identity.ID, Instance: f.identity.Instance, Address: f.control.settings.Listen}
+	for i := 0; ; i++ {
+		if f.taken() {
+			return nil
+		}
+		f.askToJoin(ctx, i, member)
+		if !sleep(ctx, joinPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *founding) askToJoin(ctx context.Context, i int, member quorum.Member) {
+	founders := f.control.settings.Founders
+	address := founders[i%len(founders)].Address
+	if address == f.control.settings.Listen {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, foundingAsk)
+	defer cancel()
+	join := message.Join{Member: member}
+	err := f.control.client.Ask(ctx, address, message.MethodJoin, join, nil)
+	if e := fault.From(err); e != nil && e.Elsewhere != "" && e.Elsewhere != f.control.settings.Listen {
+		_ = f.control.client.Ask(ctx, e.Elsewhere, message.MethodJoin, join, nil)
+	}
+}
+
+// taken reports whether this replica finds itself among the members.
+func (f *founding) taken() bool {
+	status := f.replica.Load().Lead().Status
+	for _, m := range status.Members {
+		if m.ID == f.identity.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *founding) adopt(id string) error {
+	identity := journal.Identity{ID: id, Instance: f.control.host.Process.Instance}
+	if err := journal.WriteIdentity(f.control.folder, identity); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.identity = identity
+	f.founded = true
+	return nil
+}
+
+func (f *founding) began(replica *quorum.Replica) { f.replica.Store(replica) }
+
+func (f *founding) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.founded
+}
+
+func (f *founding) isFounder() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.identity.ID == f.identity.Instance+founderSuffix
+}
+
+func (f *founding) founders() []quorum.Member {
+	var members []quorum.Member
+	for _, founder := range f.control.settings.Founders {
+		members = append(members, quorum.Member{
+			ID:       founder.Instance + founderSuffix,
+			Instance: founder.Instance,
+			Address:  founder.Address,
+			Voter:    true,
+		})
+	}
+	return members
+}
+
+func nonce() string {
+	var text [nonceBytes]byte
+	_, _ = rand.Read(text[:])
+	return hex.EncodeToString(text[:])
+}
+
+// sleep returns false when ctx is done first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/control/warden.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/message"
+	"endivedeck.example/quorum"
+	"endivedeck.example/wire"
+)
+
+const (
+	wardenPause = 500 * time.Millisecond
+	wardenTime  = 2 * time.Second
+)
+
+// warden makes voters of the learners that have caught up, while its replica
+// leads. A learner takes the place of the voter that its instance was before
+// it lost its disk: that voter is removed first, so the number of voters never
+// grows by one that doesn't answer.
+type warden struct {
+	control *Control
+	replica *quorum.Replica
+}
+
+// run ends with ctx, or with the replica's failure.
+func (w *warden) run(ctx context.Context) {
+	ticker := time.NewTicker(wardenPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case err := <-w.replica.Failed():
+			w.control.log.WithField("error", err.Error()).Error("the replica ended")
+			w.control.failed <- err
+			return
+		case <-ticker.C:
+			w.promote(ctx)
+		}
+	}
+}
+
+func (w *warden) promote(ctx context.Context) {
+	lead := w.replica.Lead()
+	if !lead.Leading {
+		return
+	}
+	for _, learner := range lead.Status.Members {
+		if learner.Voter {
+			continue
+		}
+		w.promoteOne(ctx, lead.Status.Members, learner)
+		return
+	}
+}
+
+func (w *warden) promoteOne(ctx context.Context, members []quorum.Member, learner quorum.Member) {
+	ctx, cancel := context.WithTimeout(ctx, wardenTime)
+	defer cancel()
+	if !w.replica.CaughtUp(ctx, learner.ID) {
+		return
+	}
+	next := without(members, learner.Instance)
+	if len(next) == len(members)-1 {
+		learner.Voter = true // its instance has no other member
+	}
+	next = append(next, learner)
+	err := w.replica.Reconfigure(ctx, next)
+	entry := w.control.log.WithField("replica", learner.ID).WithField("voter", learner.Voter)
+	if err != nil {
+		entry.WithField("error", err.Error()).Warn("change of members failed")
+		return
+	}
+	entry.Info("members changed")
+}
+
+// join takes a replica with a new identity in as a learner. Learners of the
+// same instance that came before it are dropped.
+func (c *Control) join(x *wire.Exchange) {
+	var join message.Join
+	if err := x.Decode(&join); err != nil {
+		x.Fail(err)
+		return
+	}
+	replica, lead, err := c.leading(time.Now())
+	if err != nil {
+		x.Fail(err)
+		return
+	}
+	joining := join.Member
+	joining.Voter = false
+	if joining.ID == "" || joining.Instance == "" || joining.Address == "" {
+		x.Fail(fault.New(fault.Malformed, fault.No, "a member needs an identity, an instance and an address"))
+		return
+	}
+	var next []quorum.Member
+	for _, m := range lead.Status.Members {
+		if m.ID == joining.ID {
+			x.Reply(message.Nothing{})
+			return
+		}
+		if m.Voter || m.Instance != joining.Instance {
+			next = append(next, m)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wardenTime)
+	defer cancel()
+	if err := replica.Reconfigure(ctx, append(next, joining)); err != nil {
+		x.Fail(err)
+		return
+	}
+	c.log.WithField("replica", joining.ID).Info("learner joined")
+	x.Reply(message.Nothing{})
+}
+
+func without(members []quorum.Member, instance string) []quorum.Member {
+	var rest []quorum.Member
+	for _, m := range members {
+		if m.Instance != instance {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -83,6 +83,10 @@
 		Kind Kind   `cbor:"1,keyasint" json:"kind"`
 		Ran  Ran    `cbor:"2,keyasint" json:"ran"`
 		Text string `cbor:"3,keyasint" json:"text"`
+
+		// Elsewhere is the address of the process that can serve the
+		// request, where it is known.
+		Elsewhere string `cbor:"4,keyasint,omitempty" json:"-"`
 	}
 )
 
@@ -91,6 +95,20 @@
 	return eris.Wrap(&Error{Kind: kind, Ran: ran, Text: fmt.Sprintf(format, args...)}, "")
 }
 
+// Elsewhere returns an error that sends the caller to another process.
+func Elsewhere(address, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	return eris.Wrap(&Error{Kind: Unavailable, Ran: No, Text: text, Elsewhere: address}, "")
+}
+
+// Wrap returns a received error with a stack trace, or nil for nil.
+func Wrap(e *Error) error {
+	if e == nil {
+		return nil
+	}
+	return eris.Wrap(e, "")
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	return string(e.Kind) + ": " + e.Text
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -161,3 +161,17 @@
 	}
 	return c.Conn.Close()
 }
+
+// ReadBody reads a request's body. One that is too large is fault.TooLarge,
+// one that broke off is fault.Malformed.
+func ReadBody(r *http.Request) ([]byte, error) {
+	text, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, fault.New(fault.TooLarge, fault.No, "the body is larger than %d bytes", large.Limit)
+	case err != nil:
+		return nil, fault.New(fault.Malformed, fault.No, "reading the body: %v", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/lease/table.go
@@ -0,0 +1,187 @@
+// Package lease decides when a configuration is in force everywhere.
+//
+// Every process that serves by the configuration is a holder: it may go on
+// only while it holds a lease, and each renewal says which revision it has in
+// force. The leader's Table knows, for every revision, whether each holder
+// has it or has lost its lease: that is when a change is in force everywhere.
+// A new leader doesn't know the leases that its predecessor granted, so it
+// waits until they must have run out.
+//
+// A holder counts its lease from the moment at which it asked, the leader
+// from the moment at which it answered, and the leader adds a margin for
+// clocks that run at different speeds: the holder's lease always ends first.
+package lease
+
+import (
+	"time"
+
+	"endivedeck.example/rank"
+)
+
+const (
+	// Length is how long a holder may serve without a renewal.
+	Length = 6 * time.Second
+
+	marginPart = 10 // the leader waits a tenth longer than the holder
+)
+
+type (
+	// Holder is a process that serves by the configuration.
+	Holder struct {
+		ID          string
+		Incarnation string // tells two processes of one name apart
+		Kind        string // the role of the process
+		Revision    uint64 // in force there
+		Until       time.Time
+	}
+
+	// Table is the leader's knowledge of the holders. Create it with
+	// NewTable.
+	Table struct {
+		mu      rank.Mutex
+		length  time.Duration
+		holders map[string]Holder
+		counts  map[uint64]int // holders by revision
+		kinds   map[string]int // holders by kind
+		settled time.Time      // when all leases of earlier leaders have run out
+		leading bool
+	}
+)
+
+// NewTable returns a table for leases of the given length. It grants nothing
+// before Lead.
+func NewTable(length time.Duration) *Table {
+	t := &Table{mu: rank.New(rank.Lease), length: length}
+	t.clear()
+	return t
+}
+
+// Lead starts the table for a new leader. An earlier leader may have granted
+// leases up to the given time after its authority ended.
+func (t *Table) Lead(now time.Time, after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear()
+	t.leading = true
+	t.settled = now.Add(after + t.longest())
+}
+
+// Cease ends the table's authority.
+func (t *Table) Cease() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear()
+	t.leading = false
+}
+
+// Renew grants or renews the lease of a holder that has the given revision
+// in force, and reports whether it could.
+func (t *Table) Renew(now time.Time, h Holder) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leading {
+		return false
+	}
+	old, known := t.holders[h.ID]
+	if known && old.Incarnation != h.Incarnation {
+		// Two processes under one name are two holders until the older lease runs out.
+		old.ID = h.ID + "/" + old.Incarnation
+		t.remove(h.ID)
+		t.add(old)
+	}
+	if known && old.Incarnation == h.Incarnation {
+		t.remove(h.ID)
+	}
+	h.Until = now.Add(t.longest())
+	t.add(h)
+	return true
+}
+
+// Release ends the lease of a holder that has ceased to serve.
+func (t *Table) Release(id, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holders[id].Incarnation == incarnation {
+		t.remove(id)
+	}
+}
+
+// InForce reports whether every holder has the revision in force or has lost
+// its lease at now.
+func (t *Table) InForce(now time.Time, revision uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leading || now.Before(t.settled) {
+		return false
+	}
+	if !t.behind(revision) {
+		return true
+	}
+	t.expire(now)
+	return !t.behind(revision)
+}
+
+// Count returns the number of holders of a kind at now.
+func (t *Table) Count(now time.Time, kind string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return t.kinds[kind]
+}
+
+// Behind returns the holders that don't have the revision in force at now.
+func (t *Table) Behind(now time.Time, revision uint64) []Holder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	var behind []Holder
+	for _, h := range t.holders {
+		if h.Revision < revision {
+			behind = append(behind, h)
+		}
+	}
+	return behind
+}
+
+func (t *Table) behind(revision uint64) bool {
+	for r := range t.counts {
+		if r < revision {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) expire(now time.Time) {
+	for id, h := range t.holders {
+		if now.After(h.Until) {
+			t.remove(id)
+		}
+	}
+}
+
+func (t *Table) add(h Holder) {
+	t.holders[h.ID] = h
+	t.counts[h.Revision]++
+	t.kinds[h.Kind]++
+}
+
+func (t *Table) remove(id string) {
+	h := t.holders[id]
+	delete(t.holders, id)
+	t.kinds[h.Kind]--
+	t.counts[h.Revision]--
+	if t.counts[h.Revision] == 0 {
+		delete(t.counts, h.Revision)
+	}
+}
+
+func (t *Table) clear() {
+	t.holders = map[string]Holder{}
+	t.counts = map[uint64]int{}
+	t.kinds = map[string]int{}
+}
+
+func (t *Table) longest() time.Duration {
+	return t.length + t.length/marginPart
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,238 @@
+// Package member keeps a process a member of the system.
+//
+// An entry or a sidecar renews its configuration lease with the control leader
+// by one long call after another: each says what the process has in force and
+// comes back as soon as there is something newer. Whichever control instance
+// is asked, the caller is sent on to the leader.
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/lease"
+	"endivedeck.example/message"
+	"endivedeck.example/rank"
+	"endivedeck.example/wire"
+)
+
+const (
+	pollTime    = time.Second
+	answerTime  = 1200 * time.Millisecond
+	leastPause  = 50 * time.Millisecond
+	mostPause   = 400 * time.Millisecond
+	releaseTime = time.Second
+)
+
+type (
+	// Holder is the part of a process that has the configuration in force.
+	Holder interface {
+		// Describe fills in what the process knows and is.
+		Describe(*message.Renew)
+
+		// Renewed puts in force what has come. The lease is extended after
+		// it returns.
+		Renewed(message.Renewed)
+	}
+
+	// Options holds what a member is made of.
+	Options struct {
+		ID          string
+		Incarnation string
+		Kind        string   // the role of the process
+		Control     []string // addresses of control instances
+		Client      *wire.Client
+		Holder      Holder
+		Log         *logrus.Entry
+	}
+
+	// Member renews a lease. Create it with New.
+	Member struct {
+		options Options
+		holding *lease.Holding
+		ready   chan struct{}
+		stop    context.CancelFunc
+		ended   chan struct{}
+
+		mu     rank.Mutex
+		next   int    // of options.Control
+		leader string // address; empty when it isn't known
+		cancel context.CancelFunc
+		news   bool // something changed since the last Describe
+	}
+)
+
+// New starts to renew.
+func New(options Options) *Member {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Member{
+		options: options,
+		holding: lease.NewHolding(),
+		ready:   make(chan struct{}),
+		stop:    cancel,
+		ended:   make(chan struct{}),
+		mu:      rank.New(rank.Lease),
+		next:    rand.IntN(len(options.Control)),
+	}
+	go m.run(ctx)
+	return m
+}
+
+// Held reports whether the process may serve by the configuration it has.
+func (m *Member) Held() bool { return m.holding.Held(time.Now()) }
+
+// Ready is closed once the first lease is held.
+func (m *Member) Ready() <-chan struct{} { return m.ready }
+
+// Nudge sends the next renewal at once, to tell of news.
+func (m *Member) Nudge() {
+	m.mu.Lock()
+	m.news = true
+	cancel := m.cancel
+	m.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// Stop gives the lease back. The process must have ceased to serve.
+func (m *Member) Stop() {
+	m.stop()
+	<-m.ended
+	m.holding.Drop()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	release := message.Release{ID: m.options.ID, Incarnation: m.options.Incarnation}
+	_ = m.Ask(ctx, message.MethodRelease, release, nil)
+}
+
+// Ask calls the control leader. While it is certain that nothing ran, another
+// control instance is asked, until ctx is done.
+func (m *Member) Ask(ctx context.Context, method string, in, out any) error {
+	pause := leastPause
+	for {
+		address := m.address()
+		err := m.options.Client.Ask(ctx, address, method, in, out)
+		if err == nil {
+			m.found(address)
+			return nil
+		}
+		e := fault.From(err)
+		m.lost(address, e)
+		again := e.Kind == fault.Unavailable && e.Ran == fault.No
+		if !again || !wait(ctx, pause) {
+			return err
+		}
+		pause = min(2*pause, mostPause)
+	}
+}
+
+// run renews until the member stops.
+func (m *Member) run(ctx context.Context) {
+	defer close(m.ended)
+	pause := leastPause
+	for ctx.Err() == nil {
+		err := m.renew(ctx)
+		if err == nil {
+			pause = leastPause
+			continue
+		}
+		if m.nudged() {
+			continue
+		}
+		m.options.Log.WithField("error", err.Error()).Debug("renewal failed")
+		wait(ctx, pause+rand.N(pause))
+		pause = min(2*pause, mostPause)
+	}
+}
+
+func (m *Member) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTime+answerTime)
+	defer cancel()
+	m.mu.Lock()
+	m.cancel = cancel
+	m.news = false
+	m.mu.Unlock()
+	ask := message.Renew{
+		ID:          m.options.ID,
+		Incarnation: m.options.Incarnation,
+		Kind:        m.options.Kind,
+		Wait:        pollTime,
+		Holds:       true,
+	}
+	m.options.Holder.Describe(&ask)
+	asked := time.Now()
+	address := m.address()
+	var answer message.Renewed
+	if err := m.options.Client.Ask(ctx, address, message.MethodRenew, ask, &answer); err != nil {
+		if !m.nudged() {
+			m.lost(address, fault.From(err))
+		}
+		return err
+	}
+	m.found(address)
+	m.options.Holder.Renewed(answer)
+	m.holding.Extend(asked, answer.Lease)
+	m.signal()
+	return nil
+}
+
+func (m *Member) signal() {
+	select {
+	case <-m.ready:
+	default:
+		close(m.ready)
+	}
+}
+
+func (m *Member) nudged() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.news
+}
+
+func (m *Member) address() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != "" {
+		return m.leader
+	}
+	return m.options.Control[m.next%len(m.options.Control)]
+}
+
+func (m *Member) found(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leader = address
+}
+
+// lost looks for the leader elsewhere.
+func (m *Member) lost(address string, e *fault.Error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != "" && m.leader != address {
+		return
+	}
+	m.leader = ""
+	if e.Elsewhere != "" && e.Elsewhere != address {
+		m.leader = e.Elsewhere
+		return
+	}
+	m.next++
+}
+
+// wait returns false when ctx is done first.
+func wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -216,7 +216,7 @@
 		return fault.New(fault.Broken, fault.Unknown, "the connection was lost: %v", err)
 	}
 	if r.Error != nil {
-		return fault.New(r.Error.Kind, r.Error.Ran, "%s", r.Error.Text)
+		return fault.Wrap(r.Error)
 	}
 	if out == nil {
 		return nil
