Serve a request from end to end: entry, sidecar, control, stand-ins and the demo

Cause: the users ask for the whole path, thin, as separate processes first. Change: roles entry and sidecar, fronts chat and service, engine dialect lines, routing policies, admission, stand-ins, command line, demo.

--- /dev/null
+++ b/cmd/endivedeck/main.go
@@ -0,0 +1,24 @@
+// Command endivedeck serves language models and order services on a fixed
+// fleet. See "endivedeck help".
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"endivedeck.example/command"
+
+	_ "endivedeck.example/chat"
+	_ "endivedeck.example/control"
+	_ "endivedeck.example/demo"
+	_ "endivedeck.example/entry"
+	_ "endivedeck.example/service"
+	_ "endivedeck.example/sidecar"
+	_ "endivedeck.example/wire/quicline"
+)
+
+func main() {
+	flags := flag.NewFlagSet("endivedeck", flag.ExitOnError)
+	os.Exit(int(command.Run(context.Background(), flags, os.Args[1:], os.Stdout)))
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/kernel"
+)
+
+// serve runs a process of one role.
+type serve struct {
+	role string
+	file string
+	out  io.Writer
+}
+
+func (c *serve) Name() string     { return c.role }
+func (c *serve) Synopsis() string { return "run a process of the role " + c.role }
+
+func (c *serve) Usage() string {
+	return fmt.Sprintf("endivedeck %[1]s -settings FILE\n\nRun a process of the role %[1]s until SIGTERM or SIGINT, which stop it\ngracefully. Log lines go to standard error.\n\nExample: endivedeck %[1]s -settings examples/willow/%[1]s-1.json\n\n", c.role)
+}
+
+func (c *serve) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", "", "the settings `file`")
+}
+
+func (c *serve) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.file == "" || f.NArg() > 0 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	process, err := kernel.Load(c.file)
+	if err != nil {
+		return failed(err)
+	}
+	if process.Role != c.role {
+		return failed(fault.New(fault.Malformed, fault.No, "%s: role: the file is for the role %q", c.file, process.Role))
+	}
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return c.run(ctx, process)
+}
+
+func (c *serve) run(ctx context.Context, process kernel.Process) subcommands.ExitStatus {
+	k, err := kernel.New(process, logOutput)
+	if err != nil {
+		return failed(err)
+	}
+	if err := k.Start(ctx); err != nil {
+		return failed(err)
+	}
+	err = k.Wait(ctx)
+	if stopErr := k.Stop(); err == nil {
+		err = stopErr
+	}
+	if err != nil {
+		return failed(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/control/control.go
+++ b/control/control.go
@@ -80,6 +80,7 @@
 
 func init() {
 	kernel.Roles.Register(roleName, build)
+	kernel.Checkers.Register(roleName, check)
 	kernel.AllowSection(roleName, roleName)
 }
 
@@ -88,9 +89,20 @@
 	return Settings{Transport: "quic", Limits: gate.DefaultLimits(), Snapshot: 20_000}
 }
 
-func build(host *kernel.Host) (kernel.Role, error) {
+func check(host *kernel.Host) error {
+	_, err := read(host)
+	return err
+}
+
+func read(host *kernel.Host) (Settings, error) {
 	settings := DefaultSettings()
-	if err := host.Section(roleName, &settings); err != nil {
+	err := host.Section(roleName, &settings)
+	return settings, err
+}
+
+func build(host *kernel.Host) (kernel.Role, error) {
+	settings, err := read(host)
+	if err != nil {
 		return nil, err
 	}
 	maker, err := wire.Transports.Find(settings.Transport)
@@ -194,7 +206,7 @@
 		_ = c.gate.Stop(ctx)
 	}
 	c.stop()
-	c.peers.wait()
+	c.peers.stop()
 	err := c.server.Stop(ctx)
 	if replica := c.current(); replica != nil {
 		replica.Stop()
--- a/control/founding.go
+++ b/control/founding.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/interval"
 	"endivedeck.example/journal"
 	"endivedeck.example/message"
 	"endivedeck.example/quorum"
@@ -103,7 +104,7 @@
 		if ready {
 			return false, nil
 		}
-		if !sleep(ctx, foundingPause) {
+		if !interval.Wait(ctx, foundingPause) {
 			return false, ctx.Err()
 		}
 	}
@@ -146,7 +147,7 @@
 			return nil
 		}
 		f.askToJoin(ctx, i, member)
-		if !sleep(ctx, joinPause) {
+		if !interval.Wait(ctx, joinPause) {
 			return ctx.Err()
 		}
 	}
@@ -222,15 +223,3 @@
 	_, _ = rand.Read(text[:])
 	return hex.EncodeToString(text[:])
 }
-
-// sleep returns false when ctx is done first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/holders.go
+++ b/control/holders.go
@@ -17,6 +17,8 @@
 	kindEntry   = "entry"
 	kindSidecar = "sidecar"
 
+	firstTerm = 1 // no replica has led before it
+
 	mostWait  = 5 * time.Second
 	sweepTime = time.Second
 	checkTime = 100 * time.Millisecond
@@ -258,7 +260,7 @@
 	} else {
 		answer.Contracts = contracts
 		answer.Fleet = h.fleetFor(p.ask.Fleet)
-		answer.Entries = h.table.Count(time.Now(), kindEntry)
+		answer.Place, answer.Entries = h.table.Place(time.Now(), p.ask.ID, kindEntry)
 	}
 	p.x.Reply(answer)
 }
@@ -297,9 +299,12 @@
 
 // Led implements Watcher.
 func (h *holders) Led(leading bool, term uint64) {
-	if leading {
+	switch {
+	case leading && term == firstTerm:
+		h.table.LeadFirst(time.Now())
+	case leading:
 		h.table.Lead(time.Now(), h.control.timing.Election)
-	} else {
+	default:
 		h.table.Cease()
 	}
 	h.mu.Lock()
--- a/control/peers.go
+++ b/control/peers.go
@@ -27,6 +27,8 @@
 		mu        rank.Mutex
 		links     map[string]*peer  // by address
 		addresses map[string]string // of replicas that have spoken to this one, by ID
+		inbound   map[*wire.Exchange]bool
+		stopped   bool
 		running   sync.WaitGroup
 	}
 
@@ -45,6 +47,7 @@
 		mu:        rank.New(rank.Lease),
 		links:     map[string]*peer{},
 		addresses: map[string]string{},
+		inbound:   map[*wire.Exchange]bool{},
 	}
 }
 
@@ -53,8 +56,36 @@
 	p.self = self
 }
 
-// wait returns when no more messages are sent.
-func (p *peers) wait() { p.running.Wait() }
+// stop ends the open calls of other replicas, and returns when no more
+// messages are sent to them.
+func (p *peers) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	for x := range p.inbound {
+		x.Cancel()
+	}
+	p.mu.Unlock()
+	p.running.Wait()
+}
+
+// enter notes an open call of another replica, unless this one is stopping.
+func (p *peers) enter(x *wire.Exchange, from quorum.Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return false
+	}
+	p.inbound[x] = true
+	// One that isn't a member yet must be answered too.
+	p.addresses[from.ID] = from.Address
+	return true
+}
+
+func (p *peers) leave(x *wire.Exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inbound, x)
+}
 
 // Send implements quorum.Sender.
 func (p *peers) Send(to quorum.Member, m quorum.Message) {
@@ -68,14 +99,6 @@
 	}
 }
 
-// heard remembers where a replica spoke from, since one that isn't a member
-// yet must be answered too.
-func (p *peers) heard(m quorum.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses[m.ID] = m.Address
-}
-
 func (p *peers) link(to quorum.Member) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,7 +161,10 @@
 	if err := x.Decode(&hello); err != nil {
 		return
 	}
-	c.peers.heard(hello.From)
+	if !c.peers.enter(x, hello.From) {
+		return
+	}
+	defer c.peers.leave(x)
 	for {
 		var m quorum.Message
 		if err := x.Receive(&m); err != nil {
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"endivedeck.example/contract"
+	"endivedeck.example/fault"
+	"endivedeck.example/fleet"
+	"endivedeck.example/interval"
+	"endivedeck.example/message"
+	"endivedeck.example/order"
+	"endivedeck.example/routing"
+)
+
+const (
+	finishTime  = 10 * time.Second
+	finishPause = 100 * time.Millisecond
+	openPause   = 200 * time.Millisecond
+	maxKeyBytes = 255
+)
+
+// Call asks a plain service for something.
+type Call struct {
+	ID          string
+	Caller      Caller
+	Class       string
+	Service     string
+	Method      string // of HTTP
+	Path        string // with the query
+	ContentType string
+	Body        []byte
+	Key         string // the caller's idempotency key
+}
+
+// Repeatable reports whether a call may be repeated. Everything but reading
+// is an order.
+func (c *Call) Repeatable() bool {
+	return c.Method == http.MethodGet || c.Method == http.MethodHead || c.Method == http.MethodOptions
+}
+
+// Do has a plain service answer a call. An order runs at most once: its answer
+// is recorded before it is given, and whoever sends the order again under its
+// key gets the recorded answer.
+func (d *Desk) Do(ctx context.Context, c Call) (order.Answer, error) {
+	var answer order.Answer
+	err := d.onWorker(func() error {
+		var err error
+		answer, err = d.do(ctx, c)
+		return err
+	})
+	d.noteCall(c, answer, err)
+	return answer, err
+}
+
+func (d *Desk) do(ctx context.Context, c Call) (order.Answer, error) {
+	if !c.Repeatable() && (c.Key == "" || len(c.Key) > maxKeyBytes) {
+		return order.Answer{}, fault.New(fault.Malformed, fault.No, "an order needs an Idempotency-Key of 1 to %d bytes", maxKeyBytes)
+	}
+	accepted, ticket, err := d.admit(c.Caller, c.Class, false, fleet.Ask{Service: c.Service})
+	if err != nil {
+		return order.Answer{}, err
+	}
+	defer d.entry.limits.Release(ticket)
+	class := accepted.Contract.Classes[c.Class]
+	ctx, cancel := context.WithTimeout(ctx, class.Whole.Std())
+	defer cancel()
+	if c.Repeatable() {
+		return d.read(ctx, c, accepted)
+	}
+	return d.order(ctx, c, accepted)
+}
+
+// read tries one backend server after another, since reading may be repeated.
+func (d *Desk) read(ctx context.Context, c Call, accepted contract.Accepted) (order.Answer, error) {
+	tried := map[string]bool{}
+	var last error
+	for range d.entry.settings.Tries {
+		ticket, err := d.chooseService(c, accepted, tried)
+		if err != nil {
+			if last == nil {
+				last = err
+			}
+			return order.Answer{}, last
+		}
+		tried[ticket.Name] = true
+		answer, err := d.hand(ctx, &ticket, c, accepted, 0)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if !mayRetry(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return order.Answer{}, last
+}
+
+// order begins the order in the log and hands it over once. From then on it
+// goes on without its caller, so that its outcome is recorded.
+func (d *Desk) order(ctx context.Context, c Call, accepted contract.Accepted) (order.Answer, error) {
+	begun, err := d.begin(ctx, c, accepted)
+	if err != nil {
+		return order.Answer{}, err
+	}
+	if !begun.Go {
+		return d.earlier(ctx, c, accepted, begun)
+	}
+	return d.run(ctx, c, accepted, begun.Record)
+}
+
+// run hands over an order that this attempt has begun. The sidecar records
+// the answer before it gives it.
+func (d *Desk) run(ctx context.Context, c Call, accepted contract.Accepted, record order.Record) (order.Answer, error) {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	answer, err := d.handOnce(ctx, c, accepted, record.Intent)
+	if err == nil {
+		return answer, nil
+	}
+	e := fault.From(err)
+	if e.Ran != fault.No {
+		return answer, fault.New(e.Kind, e.Ran, "%s; ask again with the same key", e.Text)
+	}
+	// The proof that nothing ran frees the key; until that is recorded the caller is told that it isn't known.
+	if err := d.finish(order.Finish{Key: record.Key, Intent: record.Intent, NotRun: true}); err != nil {
+		return answer, fault.New(fault.Unavailable, fault.Unknown, "it isn't recorded that the order didn't run; ask again with the same key")
+	}
+	return answer, err
+}
+
+// begin asks control to begin the order. The attempt's name lets it ask again
+// when the answer is lost.
+func (d *Desk) begin(ctx context.Context, c Call, accepted contract.Accepted) (order.Begun, error) {
+	begin := order.Begin{
+		Key:     order.Key{Customer: accepted.Contract.Customer, Service: c.Service, Key: c.Key},
+		Digest:  digestOf(c),
+		Attempt: nonce(),
+		Keep:    accepted.Contract.KeepTime(),
+	}
+	for {
+		var begun order.Begun
+		err := d.entry.member.Ask(ctx, message.MethodBegin, begin, &begun)
+		if err == nil {
+			return begun, fault.Wrap(begun.Error)
+		}
+		if ctx.Err() != nil || fault.From(err).Ran == fault.No || !interval.Wait(ctx, finishPause) {
+			// Begun or not, nothing was handed over, and nothing will be.
+			return begun, fault.New(fault.Of(err), fault.No, "the order couldn't be recorded: %s", fault.From(err).Text)
+		}
+	}
+}
+
+// earlier answers an order that was sent before. One that may still run is
+// waited for.
+func (d *Desk) earlier(ctx context.Context, c Call, accepted contract.Accepted, begun order.Begun) (order.Answer, error) {
+	for begun.Record.State != order.Done {
+		if !interval.Wait(ctx, openPause) {
+			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
+		}
+		next, err := d.begin(ctx, c, accepted)
+		if err != nil {
+			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
+		}
+		begun = next
+		if begun.Go {
+			// It was proved since that the earlier attempt didn't run, and this one has begun it anew.
+			return d.run(ctx, c, accepted, begun.Record)
+		}
+	}
+	return begun.Record.Answer, nil
+}
+
+// handOnce hands an order to one backend server, to another only where it is
+// proved that the one before didn't run it.
+func (d *Desk) handOnce(ctx context.Context, c Call, accepted contract.Accepted, intent uint64) (order.Answer, error) {
+	tried := map[string]bool{}
+	last := fault.New(fault.Unavailable, fault.No, "no backend server takes this order now")
+	for range d.entry.settings.Tries {
+		if ctx.Err() != nil {
+			return order.Answer{}, last
+		}
+		ticket, err := d.chooseService(c, accepted, tried)
+		if err != nil {
+			return order.Answer{}, last
+		}
+		tried[ticket.Name] = true
+		answer, err := d.hand(ctx, &ticket, c, accepted, intent)
+		if err == nil || fault.From(err).Ran != fault.No {
+			return answer, err
+		}
+		last = err
+	}
+	return order.Answer{}, last
+}
+
+func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, intent uint64) (order.Answer, error) {
+	left, _ := ctx.Deadline()
+	call := message.ServiceCall{
+		ID:          c.ID,
+		Customer:    accepted.Contract.Customer,
+		Revision:    accepted.Revision,
+		Method:      c.Method,
+		Path:        c.Path,
+		ContentType: c.ContentType,
+		Body:        c.Body,
+		Order:       intent,
+		Key:         c.Key,
+		Left:        time.Until(left),
+	}
+	var answer message.ServiceAnswer
+	err := d.entry.client.Ask(ctx, ticket.Address, message.MethodCall, call, &answer)
+	if err == nil && answer.ID != c.ID {
+		d.entry.host.Metrics.GetOrCreateCounter("answers_crossed_total").Inc()
+		err = fault.New(fault.Broken, fault.Unknown, "the sidecar gave the answer to another call")
+	}
+	d.entry.fleet.Done(time.Now(), ticket, blames(err))
+	return answer.Answer, err
+}
+
+// finish records an outcome. It may be repeated, and outlasts the caller.
+func (d *Desk) finish(finish order.Finish) error {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
+	defer cancel()
+	for {
+		var finished order.Finished
+		err := d.entry.member.Ask(ctx, message.MethodFinish, finish, &finished)
+		if err == nil {
+			return fault.Wrap(finished.Error)
+		}
+		if !interval.Wait(ctx, finishPause) {
+			return err
+		}
+	}
+}
+
+func (d *Desk) chooseService(c Call, accepted contract.Accepted, tried map[string]bool) (fleet.Ticket, error) {
+	if err := d.mayServe(); err != nil {
+		return fleet.Ticket{}, err
+	}
+	request := routing.Request{
+		ID:       c.ID,
+		Customer: accepted.Contract.Customer,
+		Class:    c.Class,
+		Domain:   d.entry.host.Process.FailureDomain,
+	}
+	return d.choose(request, fleet.Ask{Service: c.Service, Not: tried})
+}
+
+func (d *Desk) noteCall(c Call, answer order.Answer, err error) {
+	line := d.entry.log.WithField("request", c.ID).WithField("customer", c.Caller.Accepted.Contract.Customer).
+		WithField("class", c.Class).WithField("service", c.Service)
+	outcome := "done"
+	if e := fault.From(err); e != nil {
+		outcome = string(e.Kind)
+		line = line.WithField("ran", e.Ran).WithField("error", e.Text)
+	} else {
+		line = line.WithField("status", answer.Status)
+	}
+	d.entry.host.Metrics.GetOrCreateCounter(`calls_total{outcome="` + outcome + `"}`).Inc()
+	line.WithField("outcome", outcome).Info("call")
+}
+
+// digestOf tells orders under one key apart.
+func digestOf(c Call) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{c.Method, c.Path, c.ContentType, strconv.Itoa(len(c.Body))} {
+		_, _ = digest.WriteString(part + "\x00")
+	}
+	_, _ = digest.Write(c.Body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/entry/desk.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"endivedeck.example/admission"
+	"endivedeck.example/contract"
+	"endivedeck.example/fault"
+	"endivedeck.example/fleet"
+	"endivedeck.example/pool"
+	"endivedeck.example/rank"
+	"endivedeck.example/routing"
+)
+
+type (
+	// Desk serves callers' requests, whatever front they came through.
+	Desk struct {
+		entry *Entry
+		left  atomic.Bool
+
+		mu     rank.Mutex // guards policy, which isn't safe for concurrent use
+		policy routing.Policy
+	}
+
+	// Caller is a customer who has shown a key.
+	Caller struct {
+		Accepted contract.Accepted
+	}
+
+	// Query asks a model for an answer.
+	Query struct {
+		ID     string
+		Caller Caller
+		Class  string
+		Model  string
+		Prompt string
+		Most   int // tokens of the answer
+	}
+
+	// Usage counts the tokens of an answer.
+	Usage struct {
+		Prompt int
+		Answer int
+		Reason string // why the answer ended
+	}
+
+	// Reader takes in an answer as it comes.
+	Reader interface {
+		// Take takes the next tokens. An error means that the caller is gone.
+		Take(text string, tokens int) error
+	}
+)
+
+func newDesk(e *Entry, policy routing.Policy) *Desk {
+	return &Desk{entry: e, mu: rank.New(rank.Fleet), policy: policy}
+}
+
+func (d *Desk) leave() { d.left.Store(true) }
+
+func (d *Desk) leaving() bool { return d.left.Load() }
+
+// Identify returns the caller that a key belongs to.
+func (d *Desk) Identify(key string) (Caller, error) {
+	if err := d.mayServe(); err != nil {
+		return Caller{}, err
+	}
+	if key == "" {
+		return Caller{}, fault.New(fault.Unauthenticated, fault.No, "a customer's key is needed as bearer token")
+	}
+	accepted, ok := d.entry.view.ByKey(contract.HashKey(key))
+	if !ok {
+		return Caller{}, fault.New(fault.Unauthenticated, fault.No, "the key belongs to no customer")
+	}
+	return Caller{Accepted: accepted}, nil
+}
+
+// Models returns the models that the caller's contract names and that some
+// backend server holds.
+func (d *Desk) Models(c Caller) []string {
+	held := d.entry.fleet.Models()
+	var models []string
+	for _, model := range c.Accepted.Contract.Models {
+		if held[model] {
+			models = append(models, model)
+		}
+	}
+	return models
+}
+
+// mayServe is asked again after everything that may have taken time, because
+// a process that was paused for longer than its lease serves by nothing.
+func (d *Desk) mayServe() error {
+	if !d.entry.member.Held() {
+		return fault.New(fault.Lapsed, fault.No, "the entry's configuration lease has run out")
+	}
+	return nil
+}
+
+// admit admits a request by the contract in force now, which may be newer
+// than the one that the caller was identified by.
+func (d *Desk) admit(caller Caller, class string, isQuery bool, ask fleet.Ask) (contract.Accepted, admission.Ticket, error) {
+	if err := d.mayServe(); err != nil {
+		return contract.Accepted{}, admission.Ticket{}, err
+	}
+	accepted, ok := d.entry.view.Of(caller.Accepted.Contract.Customer)
+	if !ok || accepted.Retired {
+		return accepted, admission.Ticket{}, fault.New(fault.Forbidden, fault.No, "the contract is retired")
+	}
+	if isQuery && !accepted.Contract.AllowsModel(ask.Model) {
+		return accepted, admission.Ticket{}, fault.New(fault.NotFound, fault.No, "the contract has no model %q", ask.Model)
+	}
+	if !isQuery && !accepted.Contract.AllowsService(ask.Service) {
+		return accepted, admission.Ticket{}, fault.New(fault.NotFound, fault.No, "the contract has no service %q", ask.Service)
+	}
+	now := time.Now()
+	pressure := pressureOf(d.entry.fleet.Candidates(now, ask))
+	request := admission.Request{Accepted: accepted, Class: class, Engine: isQuery}
+	ticket, err := d.entry.limits.Admit(now, request, pressure)
+	return accepted, ticket, err
+}
+
+// choose picks a backend server and notes that a request goes there.
+func (d *Desk) choose(r routing.Request, ask fleet.Ask) (fleet.Ticket, error) {
+	now := time.Now()
+	candidates := d.entry.fleet.Candidates(now, ask)
+	d.mu.Lock()
+	choice := d.policy.Choose(r, candidates)
+	d.mu.Unlock()
+	line := d.entry.log.WithField("request", r.ID).WithField("customer", r.Customer).WithField("class", r.Class).
+		WithField("candidates", len(candidates)).WithField("reason", choice.Reason)
+	if choice.Index < 0 {
+		line.Info("routing: none")
+		return fleet.Ticket{}, fault.New(fault.Unavailable, fault.No, "no backend server takes this request now")
+	}
+	chosen := candidates[choice.Index]
+	line.WithField("backend", chosen.Name).Info("routing")
+	return d.entry.fleet.Send(now, chosen.Name, ask, max(0, r.Prompt-chosen.Hit)), nil
+}
+
+// onWorker runs work on the pool and waits for it, so that the number of
+// requests that run at once is bounded and more are refused early.
+func (d *Desk) onWorker(work func() error) error {
+	t := &deskTask{work: work, done: make(chan error, 1)}
+	if err := d.entry.host.Pool.Submit(pool.Task(t)); err != nil {
+		return err
+	}
+	return <-t.done
+}
+
+type deskTask struct {
+	work func() error
+	done chan error
+}
+
+// Do implements pool.Task.
+func (t *deskTask) Do() { t.done <- t.work() }
+
+func pressureOf(candidates []routing.Candidate) admission.Pressure {
+	var p admission.Pressure
+	for _, c := range candidates {
+		p.Used += max(c.Own, c.Running+c.Queued+c.Since)
+		p.Slots += c.Slots
+	}
+	return p
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,228 @@
+// Package entry is the role of the thin instances that callers reach.
+//
+// An entry has no disk. It admits requests by the contracts in force, chooses
+// a backend server among those that grant it new work, and carries answers
+// whole. How callers' requests are encoded is the matter of fronts, which are
+// plug-ins: they turn a request into a Query or a Call and use the Desk.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/admission"
+	"endivedeck.example/contract"
+	"endivedeck.example/fleet"
+	"endivedeck.example/gate"
+	"endivedeck.example/kernel"
+	"endivedeck.example/member"
+	"endivedeck.example/message"
+	"endivedeck.example/rank"
+	"endivedeck.example/routing"
+	"endivedeck.example/settings"
+	"endivedeck.example/wire"
+)
+
+const roleName = "entry"
+
+// Fronts is the slot of callers' interfaces. Each adds its paths to the
+// entry's one listener.
+var Fronts = kernel.NewSlot[Front]("front")
+
+var (
+	_ kernel.Role   = (*Entry)(nil)
+	_ member.Holder = (*Entry)(nil)
+)
+
+type (
+	// Front adds a callers' interface to mux.
+	Front func(mux *http.ServeMux, desk *Desk)
+
+	// Settings is the section "entry" of an entry's settings.
+	Settings struct {
+		Listen    string            `json:"listen" need:"yes"` // address for callers
+		Control   []string          `json:"control" need:"yes"`
+		Transport string            `json:"transport"`
+		Routing   string            `json:"routing"`
+		Limits    gate.Limits       `json:"limits"`
+		Silence   settings.Duration `json:"silence" range:"100ms..1m"` // between two pieces before an answer is asked for anew
+		Tries     int               `json:"tries" range:"1..16"`       // backend servers for one request
+	}
+
+	// Entry is a running entry.
+	Entry struct {
+		host     *kernel.Host
+		settings Settings
+		log      *logrus.Entry
+		client   *wire.Client
+		view     *contract.View
+		fleet    *fleet.Table
+		limits   *admission.Admission
+		desk     *Desk
+		gate     *gate.Gate
+		member   *member.Member
+		watch    *watchers
+		stop     context.CancelFunc
+
+		mu      rank.Mutex
+		term    uint64
+		version message.FleetVersion
+	}
+)
+
+func init() {
+	kernel.Roles.Register(roleName, build)
+	kernel.Checkers.Register(roleName, check)
+	kernel.AllowSection(roleName, roleName)
+}
+
+// DefaultSettings returns the settings that hold where a file says nothing.
+func DefaultSettings() Settings {
+	return Settings{
+		Transport: "quic",
+		Routing:   "expected",
+		Limits:    gate.DefaultLimits(),
+		Silence:   settings.Duration(5 * time.Second),
+		Tries:     4,
+	}
+}
+
+func check(host *kernel.Host) error {
+	_, err := read(host)
+	return err
+}
+
+func read(host *kernel.Host) (Settings, error) {
+	settings := DefaultSettings()
+	err := host.Section(roleName, &settings)
+	return settings, err
+}
+
+func build(host *kernel.Host) (kernel.Role, error) {
+	settings, err := read(host)
+	if err != nil {
+		return nil, err
+	}
+	maker, err := wire.Transports.Find(settings.Transport)
+	if err != nil {
+		return nil, err
+	}
+	transport, err := maker(host)
+	if err != nil {
+		return nil, err
+	}
+	return New(host, settings, transport)
+}
+
+// New returns an entry that speaks to other processes through transport.
+func New(host *kernel.Host, settings Settings, transport wire.Transport) (*Entry, error) {
+	policy, err := routing.Policies.Find(settings.Routing)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		host:     host,
+		settings: settings,
+		log:      host.Log,
+		client:   wire.NewClient(transport),
+		view:     contract.NewView(),
+		fleet:    fleet.New(),
+		limits:   admission.New(),
+		mu:       rank.New(rank.Control),
+	}
+	e.watch = newWatchers(e)
+	e.desk = newDesk(e, policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	return e, nil
+}
+
+// Desk returns what fronts use.
+func (e *Entry) Desk() *Desk { return e.desk }
+
+// Start implements kernel.Role. The listener opens at once, and answers its
+// health check once the entry has a state that a quorum confirmed.
+func (e *Entry) Start(context.Context) error {
+	running, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.watch.start(running)
+	e.member = member.New(member.Options{
+		ID:          e.host.Process.Instance,
+		Incarnation: nonce(),
+		Kind:        roleName,
+		Control:     e.settings.Control,
+		Client:      e.client,
+		Holder:      e,
+		Log:         e.log,
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", e.health)
+	for _, name := range Fronts.Names() {
+		front, err := Fronts.Find(name)
+		if err != nil {
+			return err
+		}
+		front(mux, e.desk)
+	}
+	g, err := gate.New(e.settings.Listen, mux, e.settings.Limits, nil)
+	if err != nil {
+		return err
+	}
+	e.gate = g
+	return nil
+}
+
+// Stop implements kernel.Role: the health check fails, so that the balancer
+// moves callers, and requests that run end.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.desk.leave()
+	err := e.gate.Stop(ctx)
+	e.member.Stop()
+	e.stop()
+	e.watch.wait()
+	e.client.Close()
+	return err
+}
+
+// Address returns the address that callers reach.
+func (e *Entry) Address() string { return e.gate.Address() }
+
+// Describe implements member.Holder.
+func (e *Entry) Describe(ask *message.Renew) {
+	ask.Revision = e.view.Revision()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ask.Fleet = e.version
+}
+
+// Renewed implements member.Holder. What an earlier leader sends late is
+// older than what is in force, and the view only advances.
+func (e *Entry) Renewed(answer message.Renewed) {
+	e.view.Advance(answer.Revision, answer.Contracts)
+	e.limits.SetSplit(admission.Split{Entries: answer.Entries, Place: answer.Place})
+	e.mu.Lock()
+	stale := answer.Term < e.term
+	if !stale {
+		e.term = answer.Term
+	}
+	if !stale && answer.Fleet != nil {
+		e.version = answer.Fleet.Version
+	}
+	e.mu.Unlock()
+	if !stale && answer.Fleet != nil {
+		e.watch.announce(answer.Fleet.Backends)
+	}
+}
+
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
+	if e.desk.leaving() || !e.member.Held() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// Granted returns how many backend servers grant this entry new work.
+func (e *Entry) Granted() int { return e.fleet.Granted(time.Now()) }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,334 @@
+// Package fleet is what one entry knows of the backend servers.
+//
+// Control tells which backend servers there are; each sidecar itself says for
+// how long it takes new work and how busy it is. The table adds what the entry
+// has in flight there, because reports are late, and what it believes to be in
+// each engine's prefix cache, because cache events are late and have gaps.
+package fleet
+
+import (
+	"time"
+
+	"endivedeck.example/message"
+	"endivedeck.example/rank"
+	"endivedeck.example/routing"
+)
+
+const (
+	mostPrefixes = 1 << 14 // pieces remembered for one backend server
+	prefixAge    = 10 * time.Minute
+	restTime     = time.Second // a backend server that failed rests for so long, doubled by each failure
+	mostRests    = 5
+	rateWeight   = 0.2
+)
+
+type (
+	// Server is one backend server.
+	Server struct {
+		Backend     message.Backend
+		Incarnation string // as its grants have it
+		GrantUntil  time.Time
+		Models      map[string]bool
+		Role        string
+		Load        message.Load
+		LoadAt      time.Time
+		PieceTokens int
+		Own         int
+		OwnTodo     int
+		Since       int
+		Failures    int
+		RestUntil   time.Time
+		Rate        float64
+
+		prefixes map[uint64]time.Time // piece -> when it was last believed to be cached
+	}
+
+	// Table holds the backend servers. Create it with New.
+	Table struct {
+		mu      rank.Mutex
+		servers map[string]*Server
+	}
+
+	// Ask says which backend servers a request may go to.
+	Ask struct {
+		Model   string
+		Service string
+		Prompt  string
+		Not     map[string]bool // names that were tried already
+		Prefix  func(pieceTokens int) []uint64
+	}
+
+	// Ticket is one request in flight at a backend server.
+	Ticket struct {
+		Name        string
+		Address     string
+		Incarnation string
+		todo        int
+		prefix      []uint64
+		sent        time.Time
+		waiting     bool
+	}
+)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{mu: rank.New(rank.Fleet), servers: map[string]*Server{}}
+}
+
+// Announce takes in what control knows. A backend server that control doesn't
+// name is kept while its sidecar still grants, since a new leader doesn't know
+// all of them yet. It returns the names that are new or have moved, and those
+// that are gone.
+func (t *Table) Announce(now time.Time, backends []message.Backend) (added []message.Backend, gone []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	named := map[string]bool{}
+	for _, b := range backends {
+		named[b.Name] = true
+		s := t.servers[b.Name]
+		if s == nil {
+			s = &Server{prefixes: map[uint64]time.Time{}}
+			t.servers[b.Name] = s
+		}
+		if s.Backend.Address != b.Address {
+			added = append(added, b)
+		}
+		s.Backend = b
+	}
+	for name, s := range t.servers {
+		if !named[name] && now.After(s.GrantUntil) {
+			delete(t.servers, name)
+			gone = append(gone, name)
+		}
+	}
+	return added, gone
+}
+
+// Grant takes in a sidecar's grant.
+func (t *Table) Grant(now time.Time, name string, g message.Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return
+	}
+	if s.Incarnation != g.Incarnation {
+		s.Incarnation = g.Incarnation
+		s.Failures = 0
+		s.RestUntil = time.Time{}
+	}
+	s.GrantUntil = now.Add(g.For)
+	s.Role = g.Role
+	s.Load = g.Load
+	s.LoadAt = now.Add(-g.Load.Age)
+	s.Since = 0
+	s.PieceTokens = g.PieceTokens
+	s.Models = map[string]bool{}
+	for _, model := range g.Models {
+		s.Models[model] = true
+	}
+	for _, hash := range g.Evicted {
+		delete(s.prefixes, hash)
+	}
+	for _, hash := range g.Cached {
+		s.remember(now, hash)
+	}
+}
+
+// Revoke ends a grant, for instance when the way to its sidecar is lost.
+func (t *Table) Revoke(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.GrantUntil = time.Time{}
+	}
+}
+
+// Candidates returns the backend servers that take new work of this kind.
+func (t *Table) Candidates(now time.Time, ask Ask) []routing.Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var candidates []routing.Candidate
+	for name, s := range t.servers {
+		if ask.Not[name] || !now.Before(s.GrantUntil) || now.Before(s.RestUntil) || !s.serves(ask) {
+			continue
+		}
+		c := routing.Candidate{
+			Name:     name,
+			Domain:   s.Backend.FailureDomain,
+			Role:     s.Role,
+			Running:  s.Load.Running,
+			Queued:   s.Load.Queued,
+			Slots:    s.Load.Capacity,
+			Own:      s.Own,
+			OwnTodo:  s.OwnTodo,
+			Since:    s.Since,
+			Age:      now.Sub(s.LoadAt),
+			Failures: s.Failures,
+			Rate:     s.Rate,
+		}
+		if ask.Prefix != nil {
+			c.Hit = s.hit(now, ask.Prefix(s.PieceTokens))
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// Send notes that a request goes to a backend server.
+func (t *Table) Send(now time.Time, name string, ask Ask, todo int) Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return Ticket{Name: name}
+	}
+	ticket := Ticket{
+		Name:        name,
+		Address:     s.Backend.Address,
+		Incarnation: s.Incarnation,
+		todo:        todo,
+		sent:        now,
+		waiting:     true,
+	}
+	if ask.Prefix != nil {
+		ticket.prefix = ask.Prefix(s.PieceTokens)
+	}
+	s.Own++
+	s.Since++
+	s.OwnTodo += todo
+	return ticket
+}
+
+// First notes a request's first token: its prompt is worked through and, for
+// now, in the prefix cache.
+func (t *Table) First(now time.Time, ticket *Ticket) {
+	if !ticket.waiting {
+		return
+	}
+	ticket.waiting = false
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[ticket.Name]
+	if s == nil {
+		return
+	}
+	took := now.Sub(ticket.sent).Seconds()
+	if took > 0 && ticket.todo > 0 {
+		seen := float64(max(s.OwnTodo, ticket.todo)) / took
+		if s.Rate == 0 {
+			s.Rate = seen
+		}
+		s.Rate += rateWeight * (seen - s.Rate)
+	}
+	s.OwnTodo = max(0, s.OwnTodo-ticket.todo)
+	for _, hash := range ticket.prefix {
+		s.remember(now, hash)
+	}
+}
+
+// Done notes that a request has left a backend server. A failure lets the
+// backend server rest for a while, longer each time in a row.
+func (t *Table) Done(now time.Time, ticket *Ticket, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[ticket.Name]
+	if s == nil {
+		return
+	}
+	s.Own = max(0, s.Own-1)
+	if ticket.waiting {
+		s.OwnTodo = max(0, s.OwnTodo-ticket.todo)
+	}
+	if !failed {
+		s.Failures = 0
+		return
+	}
+	s.Failures++
+	s.RestUntil = now.Add(restTime << min(s.Failures-1, mostRests))
+}
+
+// Models returns the models that some backend server holds.
+func (t *Table) Models() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	models := map[string]bool{}
+	for _, s := range t.servers {
+		for model := range s.Models {
+			models[model] = true
+		}
+	}
+	return models
+}
+
+func (s *Server) serves(ask Ask) bool {
+	if ask.Service != "" {
+		return s.Backend.Service == ask.Service
+	}
+	return s.Models[ask.Model]
+}
+
+// hit returns how many leading tokens of a prompt are believed to be cached.
+// One piece that isn't known of is passed over, because events have gaps.
+func (s *Server) hit(now time.Time, prefix []uint64) int {
+	pieces := 0
+	gap := false
+	for i, hash := range prefix {
+		at, ok := s.prefixes[hash]
+		if ok && now.Sub(at) < prefixAge {
+			pieces = i + 1
+			continue
+		}
+		if gap {
+			break
+		}
+		gap = true
+	}
+	return pieces * s.PieceTokens
+}
+
+func (s *Server) remember(now time.Time, hash uint64) {
+	if len(s.prefixes) >= mostPrefixes {
+		s.dropOldest()
+	}
+	s.prefixes[hash] = now
+}
+
+// dropOldest halves the memory by age, approximately: it keeps what is newer
+// than the middle of a few samples.
+func (s *Server) dropOldest() {
+	var sum int64
+	n := int64(0)
+	for _, at := range s.prefixes {
+		sum += at.UnixMilli() / 256
+		n++
+		if n == 256 {
+			break
+		}
+	}
+	middle := time.UnixMilli(sum / n * 256)
+	for hash, at := range s.prefixes {
+		if at.Before(middle) {
+			delete(s.prefixes, hash)
+		}
+	}
+	for hash := range s.prefixes {
+		if len(s.prefixes) < mostPrefixes {
+			break
+		}
+		delete(s.prefixes, hash)
+	}
+}
+
+// Granted returns how many backend servers grant new work at now.
+func (t *Table) Granted(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, s := range t.servers {
+		if now.Before(s.GrantUntil) {
+			count++
+		}
+	}
+	return count
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -28,8 +28,13 @@
 	defaultStopTime = 30 * time.Second
 )
 
-// Roles is the slot of process roles.
-var Roles = NewSlot[RoleMaker]("role")
+var (
+	// Roles is the slot of process roles.
+	Roles = NewSlot[RoleMaker]("role")
+
+	// Checkers is the slot of checks of a role's settings, by role.
+	Checkers = NewSlot[Checker]("settings check")
+)
 
 type (
 	// Role is what a process does.
@@ -53,6 +58,10 @@
 	// RoleMaker builds a role from its host.
 	RoleMaker func(*Host) (Role, error)
 
+	// Checker decodes the sections of a role as the role would, and says what
+	// is wrong.
+	Checker func(*Host) error
+
 	// Process holds the settings that every process has. Members that are
 	// objects and have no field here are the sections of plug-ins.
 	Process struct {
@@ -208,3 +217,15 @@
 	}
 	return logger.WithFields(fields), nil
 }
+
+// Check checks the settings of a process without starting anything.
+func Check(process Process) error {
+	if _, err := Roles.Find(process.Role); err != nil {
+		return err
+	}
+	checker, err := Checkers.Find(process.Role)
+	if err != nil {
+		return err
+	}
+	return checker(&Host{Process: process})
+}
--- a/lease/table.go
+++ b/lease/table.go
@@ -13,6 +13,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"endivedeck.example/rank"
@@ -23,6 +24,7 @@
 	Length = 6 * time.Second
 
 	marginPart = 10 // the leader waits a tenth longer than the holder
+	sweepTime  = 50 * time.Millisecond
 )
 
 type (
@@ -45,6 +47,8 @@
 		kinds   map[string]int // holders by kind
 		settled time.Time      // when all leases of earlier leaders have run out
 		leading bool
+		swept   time.Time                 // when holders whose lease ran out were last removed
+		places  map[string]map[string]int // by kind and ID; nil where it has to be made
 	}
 )
 
@@ -66,6 +70,16 @@
 	t.settled = now.Add(after + t.longest())
 }
 
+// LeadFirst starts the table for the first leader that the group ever had:
+// there are no earlier leases.
+func (t *Table) LeadFirst(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear()
+	t.leading = true
+	t.settled = now
+}
+
 // Cease ends the table's authority.
 func (t *Table) Cease() {
 	t.mu.Lock()
@@ -88,21 +102,56 @@
 		old.ID = h.ID + "/" + old.Incarnation
 		t.remove(h.ID)
 		t.add(old)
+		t.places = nil
 	}
 	if known && old.Incarnation == h.Incarnation {
 		t.remove(h.ID)
 	}
 	h.Until = now.Add(t.longest())
 	t.add(h)
+	if !known {
+		t.places = nil
+	}
 	return true
 }
 
+// Place returns the place of a holder among those of its kind, by name, and
+// how many there are.
+func (t *Table) Place(now time.Time, id, kind string) (place, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if t.places[kind] == nil {
+		t.number(kind)
+	}
+	return t.places[kind][id], t.kinds[kind]
+}
+
+func (t *Table) number(kind string) {
+	var ids []string
+	for id, h := range t.holders {
+		if h.Kind == kind {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	places := map[string]int{}
+	for i, id := range ids {
+		places[id] = i
+	}
+	if t.places == nil {
+		t.places = map[string]map[string]int{}
+	}
+	t.places[kind] = places
+}
+
 // Release ends the lease of a holder that has ceased to serve.
 func (t *Table) Release(id, incarnation string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.holders[id].Incarnation == incarnation {
 		t.remove(id)
+		t.places = nil
 	}
 }
 
@@ -153,9 +202,14 @@
 }
 
 func (t *Table) expire(now time.Time) {
+	if now.Before(t.swept.Add(sweepTime)) {
+		return
+	}
+	t.swept = now
 	for id, h := range t.holders {
 		if now.After(h.Until) {
 			t.remove(id)
+			t.places = nil
 		}
 	}
 }
@@ -180,6 +234,7 @@
 	t.holders = map[string]Holder{}
 	t.counts = map[uint64]int{}
 	t.kinds = map[string]int{}
+	t.places = nil
 }
 
 func (t *Table) longest() time.Duration {
--- a/member/member.go
+++ b/member/member.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/interval"
 	"endivedeck.example/lease"
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
@@ -124,7 +125,7 @@
 		e := fault.From(err)
 		m.lost(address, e)
 		again := e.Kind == fault.Unavailable && e.Ran == fault.No
-		if !again || !wait(ctx, pause) {
+		if !again || !interval.Wait(ctx, pause) {
 			return err
 		}
 		pause = min(2*pause, mostPause)
@@ -145,7 +146,7 @@
 			continue
 		}
 		m.options.Log.WithField("error", err.Error()).Debug("renewal failed")
-		wait(ctx, pause+rand.N(pause))
+		interval.Wait(ctx, pause+rand.N(pause))
 		pause = min(2*pause, mostPause)
 	}
 }
@@ -224,15 +225,3 @@
 	}
 	m.next++
 }
-
-// wait returns false when ctx is done first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/message/message.go
+++ b/message/message.go
@@ -27,6 +27,7 @@
 	MethodJoin     = "join"     // control to control: Join, Nothing
 	MethodGrants   = "grants"   // entry to sidecar: Watch, then Grant one after another
 	MethodWork     = "work"     // entry to sidecar: Work, then Piece one after another
+	MethodCancel   = "cancel"   // entry to sidecar: Cancel, Nothing
 	MethodCall     = "call"     // entry to sidecar: ServiceCall, ServiceAnswer
 )
 
@@ -77,6 +78,7 @@
 		Fleet     *Fleet              `cbor:"6,keyasint,omitempty"`
 		Change    *change.Change      `cbor:"7,keyasint,omitempty"`
 		Entries   int                 `cbor:"8,keyasint"` // entries that share the limits
+		Place     int                 `cbor:"9,keyasint"` // of this entry among them
 	}
 
 	// Mark tells a sidecar the revision of a customer's contract.
@@ -167,6 +169,7 @@
 		Load        Load          `cbor:"5,keyasint"`
 		Cached      []uint64      `cbor:"6,keyasint,omitempty"` // prefix hashes newly in the cache
 		Evicted     []uint64      `cbor:"7,keyasint,omitempty"`
+		PieceTokens int           `cbor:"8,keyasint"` // tokens in a piece of the prefix cache
 	}
 
 	// Load is how busy a backend server is.
@@ -193,6 +196,11 @@
 		Resume   bool          `cbor:"11,keyasint"` // go on with a stream that the sidecar keeps
 	}
 
+	// Cancel gives up an answer that nobody waits for.
+	Cancel struct {
+		ID string `cbor:"1,keyasint"`
+	}
+
 	// Piece is a part of an answer. Offset counts the tokens before it.
 	Piece struct {
 		ID     string `cbor:"1,keyasint"`
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,69 @@
+// Package routing chooses the backend server for a request.
+//
+// A Policy decides over plain structs: what the entry knows of each candidate,
+// which is late and has gaps, corrected by the entry's own work in flight. It
+// does no input or output, so the same code decides in the live path and in a
+// replay. Policies are plug-ins of the slot Policies.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"endivedeck.example/kernel"
+)
+
+// Policies is the slot of routing policies.
+var Policies = kernel.NewSlot[Maker]("routing policy")
+
+type (
+	// Policy chooses among candidates.
+	Policy interface {
+		// Choose returns the chosen candidate's index, or -1 when none should
+		// get the request. It isn't called concurrently.
+		Choose(r Request, candidates []Candidate) Choice
+	}
+
+	// Maker builds a policy. The random source makes a replay repeatable.
+	Maker func(random *rand.Rand) Policy
+
+	// Request is what a policy may know of a request.
+	Request struct {
+		ID       string
+		Customer string
+		Class    string
+		Model    string
+		Domain   string // failure domain of the entry
+		Prompt   int    // tokens
+		Answer   int    // tokens expected
+		Priority int
+		Limit    time.Duration // on the first token; 0 for none
+	}
+
+	// Candidate is a backend server that may take the request.
+	Candidate struct {
+		Name     string
+		Domain   string        // failure domain
+		Role     string        // of an engine: both, prefill or decode
+		Running  int           // as last reported
+		Queued   int           // as last reported
+		Slots    int           // requests that run at once; 0 where it isn't known
+		Own      int           // this entry's requests in flight there
+		OwnTodo  int           // prompt tokens of those that have no token yet
+		Since    int           // this entry's requests sent there since the report
+		Hit      int           // prompt tokens believed to be in its prefix cache
+		Age      time.Duration // of the report
+		Failures int           // in a row, most recently
+		Rate     float64       // prompt tokens a second, as observed; 0 where it isn't known
+	}
+
+	// Choice is a policy's decision and its reason, for the log line.
+	Choice struct {
+		Index  int
+		Wait   time.Duration // expected time to the first token
+		Reason string
+	}
+)
+
+// None is the choice of no candidate.
+func None(reason string) Choice { return Choice{Index: -1, Reason: reason} }
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,77 @@
+// Package service is the callers' interface to plain services: a call of
+// /services/NAME/PATH goes to PATH of a backend server that runs NAME. All but
+// reading are orders and need an Idempotency-Key.
+package service
+
+import (
+	"net/http"
+
+	"endivedeck.example/entry"
+	"endivedeck.example/gate"
+)
+
+const (
+	classHeader  = "Endivedeck-Class"
+	defaultClass = "orders"
+)
+
+func init() {
+	entry.Fronts.Register("service", add)
+}
+
+type front struct{ desk *entry.Desk }
+
+func add(mux *http.ServeMux, desk *entry.Desk) {
+	f := &front{desk: desk}
+	mux.HandleFunc("/services/{service}/{path...}", f.serve)
+}
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	caller, err := f.desk.Identify(entry.BearerKey(r))
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	body, err := gate.ReadBody(r)
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	call := entry.Call{
+		ID:          entry.NewID(),
+		Caller:      caller,
+		Class:       classOf(r),
+		Service:     r.PathValue("service"),
+		Method:      r.Method,
+		Path:        pathOf(r),
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+		Key:         r.Header.Get("Idempotency-Key"),
+	}
+	w.Header().Set(entry.IDHeader, call.ID)
+	answer, err := f.desk.Do(r.Context(), call)
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func classOf(r *http.Request) string {
+	if class := r.Header.Get(classHeader); class != "" {
+		return class
+	}
+	return defaultClass
+}
+
+func pathOf(r *http.Request) string {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,7 +115,7 @@
 
 // value decodes the next JSON value into v and checks it against the tag.
 func (r *reader) value(v reflect.Value, path, limits string) error {
-	if v.Kind() == reflect.Struct {
+	if _, leaf := v.Addr().Interface().(json.Unmarshaler); v.Kind() == reflect.Struct && !leaf {
 		return r.object(v, path)
 	}
 	if v.Kind() == reflect.Slice && v.Type() != rawType && v.Type().Elem().Kind() == reflect.Struct {
--- a/wire/server.go
+++ b/wire/server.go
@@ -237,12 +237,9 @@
 // more than once.
 func (x *Exchange) End() { x.once.Do(x.end) }
 
-// Gone returns when the caller has given the call up or its connection is
-// lost. It reads from the call, so nothing else may be received.
-func (x *Exchange) Gone() {
-	var one [1]byte
-	_, _ = x.stream.Read(one[:])
-}
+// Cancel gives the call up at once, so that a Receive that waits returns. The
+// call still has to be ended.
+func (x *Exchange) Cancel() { x.stream.Cancel() }
 
 func (x *Exchange) end() {
 	_ = x.stream.Close()
