Re-admit by the newer contract when a sidecar knows of it first

Ruled out: a sidecar that refuses wrongly; it must refuse, since a paused entry looks the same to it. Change: the entry waits for the newer contract and goes by it; a request counts as sent only when the sidecar's answer doesn't prove the opposite.

--- a/entry/call.go
+++ b/entry/call.go
@@ -93,6 +93,15 @@
 			return answer, nil
 		}
 		last = err
+		if fault.Of(err) == fault.Stale {
+			next, ok := d.newer(ctx, accepted)
+			if !ok || !next.Contract.AllowsService(c.Service) {
+				break
+			}
+			accepted = next
+			clear(tried)
+			continue
+		}
 		if !mayRetry(err) || ctx.Err() != nil {
 			break
 		}
@@ -195,6 +204,14 @@
 			return answer, err
 		}
 		last = err
+		if fault.Of(err) == fault.Stale {
+			next, ok := d.newer(ctx, accepted)
+			if !ok || !next.Contract.AllowsService(c.Service) {
+				break
+			}
+			accepted = next
+			clear(tried)
+		}
 	}
 	return order.Answer{}, last
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -8,11 +9,17 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/fleet"
+	"endivedeck.example/interval"
 	"endivedeck.example/pool"
 	"endivedeck.example/rank"
 	"endivedeck.example/routing"
 )
 
+const (
+	newerTime  = 2 * time.Second
+	newerPause = 5 * time.Millisecond
+)
+
 type (
 	// Desk serves callers' requests, whatever front they came through.
 	Desk struct {
@@ -120,6 +127,22 @@
 	return accepted, ticket, err
 }
 
+// newer waits until a contract newer than old is in force here and returns it,
+// or false when there is none soon or the contract is retired.
+func (d *Desk) newer(ctx context.Context, old contract.Accepted) (contract.Accepted, bool) {
+	ctx, cancel := context.WithTimeout(ctx, newerTime)
+	defer cancel()
+	for {
+		accepted, ok := d.entry.view.Of(old.Contract.Customer)
+		if ok && accepted.Revision > old.Revision {
+			return accepted, !accepted.Retired
+		}
+		if !interval.Wait(ctx, newerPause) {
+			return accepted, false
+		}
+	}
+}
+
 // choose picks a backend server and notes that a request goes there.
 func (d *Desk) choose(r routing.Request, ask fleet.Ask) (fleet.Ticket, error) {
 	now := time.Now()
--- a/entry/query.go
+++ b/entry/query.go
@@ -19,6 +19,7 @@
 const (
 	cancelTime = time.Second
 	retryPause = 100 * time.Millisecond
+	mostStale  = 8
 )
 
 // query is one query on its way: what its reader has, and where it runs.
@@ -37,6 +38,7 @@
 	usage   Usage
 	text    strings.Builder // given so far, for another engine to go on from
 	sent    bool            // some engine may have begun
+	stale   int             // times that a sidecar knew of a newer contract
 }
 
 // Ask has a query answered and hands the answer to reader. It returns when the
@@ -115,7 +117,12 @@
 		if err == nil {
 			return r.usage, nil
 		}
+		r.sent = r.sent || fault.From(err).Ran != fault.No
 		last = r.ran(err)
+		if fault.Of(err) == fault.Stale && r.readmit(ctx) {
+			clear(r.tried)
+			continue
+		}
 		if !mayRetry(err) {
 			return r.usage, last
 		}
@@ -125,6 +132,26 @@
 	return r.usage, last
 }
 
+// readmit goes by the newer contract that a sidecar knew of, once it is in
+// force here too: a planned change refuses nobody who is still served.
+func (r *query) readmit(ctx context.Context) bool {
+	r.stale++
+	if r.stale > mostStale {
+		return false
+	}
+	accepted, ok := r.desk.newer(ctx, r.accepted)
+	if !ok || !accepted.Contract.AllowsModel(r.query.Model) {
+		return false
+	}
+	class, ok := accepted.Contract.Classes[r.query.Class]
+	if !ok {
+		return false
+	}
+	r.accepted = accepted
+	r.class = class
+	return true
+}
+
 func (r *query) mayGoOn(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return r.ran(fault.New(fault.Deadline, fault.No, "the answer's time was over"))
@@ -179,7 +206,6 @@
 		return err
 	}
 	defer call.Cancel()
-	r.sent = true
 	stop := context.AfterFunc(ctx, call.Cancel)
 	defer stop()
 	silence := r.desk.entry.settings.Silence.Std()
@@ -230,6 +256,7 @@
 	case p.Offset > r.usage.Answer:
 		return fault.New(fault.Broken, fault.Unknown, "a piece of the answer is missing")
 	}
+	r.sent = true
 	r.desk.entry.fleet.First(time.Now(), ticket)
 	if p.Tokens > 0 {
 		r.text.WriteString(p.Text)
