--- a/control/warden.go
+++ b/control/warden.go
@@ -47,29 +47,16 @@
 	if !lead.Leading {
 		return
 	}
-	for _, learner := range lead.Status.Members {
-		if learner.Voter {
-			continue
-		}
-		w.promoteOne(ctx, lead.Status.Members, learner)
-		return
-	}
-}
-
-func (w *warden) promoteOne(ctx context.Context, members []quorum.Member, learner quorum.Member) {
 	ctx, cancel := context.WithTimeout(ctx, wardenTime)
 	defer cancel()
-	if !w.replica.CaughtUp(ctx, learner.ID) {
+	next, ok := quorum.Promotion(lead.Status.Members, func(id string) bool {
+		return w.replica.CaughtUp(ctx, id)
+	})
+	if !ok {
 		return
 	}
-	next := without(members, learner.Instance)
-	if len(next) == len(members)-1 {
-		learner.Voter = true // its instance has no other member
-	}
-	next = append(next, learner)
-	err := w.replica.Reconfigure(ctx, next)
-	entry := w.control.log.WithField("replica", learner.ID).WithField("voter", learner.Voter)
-	if err != nil {
+	entry := w.control.log.WithField("members", memberIDs(next))
+	if err := w.replica.Reconfigure(ctx, next); err != nil {
 		entry.WithField("error", err.Error()).Warn("change of members failed")
 		return
 	}
@@ -90,24 +77,18 @@
 		return
 	}
 	joining := join.Member
-	joining.Voter = false
 	if joining.ID == "" || joining.Instance == "" || joining.Address == "" {
 		x.Fail(fault.New(fault.Malformed, fault.No, "a member needs an identity, an instance and an address"))
 		return
 	}
-	var next []quorum.Member
-	for _, m := range lead.Status.Members {
-		if m.ID == joining.ID {
-			x.Reply(message.Nothing{})
-			return
-		}
-		if m.Voter || m.Instance != joining.Instance {
-			next = append(next, m)
-		}
+	next, ok := quorum.Joining(lead.Status.Members, joining)
+	if !ok {
+		x.Reply(message.Nothing{})
+		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wardenTime)
 	defer cancel()
-	if err := replica.Reconfigure(ctx, append(next, joining)); err != nil {
+	if err := replica.Reconfigure(ctx, next); err != nil {
 		x.Fail(err)
 		return
 	}
@@ -115,12 +96,14 @@
 	x.Reply(message.Nothing{})
 }
 
-func without(members []quorum.Member, instance string) []quorum.Member {
-	var rest []quorum.Member
+func memberIDs(members []quorum.Member) []string {
+	var ids []string
 	for _, m := range members {
-		if m.Instance != instance {
-			rest = append(rest, m)
+		id := m.ID
+		if !m.Voter {
+			id += " (learner)"
 		}
+		ids = append(ids, id)
 	}
-	return rest
+	return ids
 }
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -3,7 +3,7 @@
 // A data folder holds four files. "identity" names the replica. "log" is a
 // sequence of records, each written and synced as one; "snapshot" replaces
 // the log up to an index. "lock" keeps a second process out. A record is a
-// mark, a length, a checksum and a CBOR value.
+// mark, a length with a copy, a checksum and a CBOR value.
 //
 // A record is acknowledged only after it is synced. When the folder is opened,
 // a last record that was never whole on the disk is cut off, because it was
@@ -30,7 +30,7 @@
 	identityFile = "identity"
 	newSuffix    = ".new"
 
-	headBytes   = 16 // mark 4, length 4, checksum 8
+	headBytes   = 20 // mark 4, length 4, the length inverted 4, checksum 8
 	sectorBytes = 512
 	maxRecord   = 1 << 30
 )
@@ -208,7 +208,8 @@
 	text := make([]byte, headBytes, headBytes+len(body))
 	copy(text, mark)
 	binary.LittleEndian.PutUint32(text[4:], uint32(len(body)))
-	binary.LittleEndian.PutUint64(text[8:], xxhash.Sum64(body))
+	binary.LittleEndian.PutUint32(text[8:], ^uint32(len(body)))
+	binary.LittleEndian.PutUint64(text[12:], xxhash.Sum64(body))
 	if _, err := file.Write(append(text, body...)); err != nil {
 		return err
 	}
@@ -283,20 +284,30 @@
 
 // next returns the first record's value and the record's size.
 func next(text []byte) (body []byte, size int, ok bool) {
-	if len(text) < headBytes || !bytes.HasPrefix(text, mark) {
-		return nil, 0, false
-	}
-	length := int(binary.LittleEndian.Uint32(text[4:]))
-	if length > maxRecord || length > len(text)-headBytes {
+	length, ok := header(text)
+	if !ok || length > len(text)-headBytes {
 		return nil, 0, false
 	}
 	body = text[headBytes : headBytes+length]
-	if xxhash.Sum64(body) != binary.LittleEndian.Uint64(text[8:]) {
+	if xxhash.Sum64(body) != binary.LittleEndian.Uint64(text[12:]) {
 		return nil, 0, false
 	}
 	return body, headBytes + length, true
 }
 
+// header returns the length of the first record's value, and false when the
+// record's head is damaged or not there as a whole.
+func header(text []byte) (int, bool) {
+	if len(text) < headBytes || !bytes.HasPrefix(text, mark) {
+		return 0, false
+	}
+	length := binary.LittleEndian.Uint32(text[4:])
+	if binary.LittleEndian.Uint32(text[8:]) != ^length || length > maxRecord {
+		return 0, false
+	}
+	return int(length), true
+}
+
 // torn reports whether the damage at byte start is that of a last write that
 // a crash interrupted: the file ends inside of the record, or a sector of it
 // was never written. No whole record follows.
@@ -308,8 +319,8 @@
 	if len(rest) < headBytes {
 		return true
 	}
-	length := int(binary.LittleEndian.Uint32(rest[4:]))
-	if bytes.HasPrefix(rest, mark) && length > len(rest)-headBytes {
+	// A length that its copy confirms isn't a flipped one.
+	if length, ok := header(rest); ok && length > len(rest)-headBytes {
 		return true
 	}
 	return hasBlankSector(text, start)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -264,6 +264,17 @@
 	c.advance(now, index)
 }
 
+// Applied returns the index up to which Ready has given committed entries.
+func (c *Core) Applied() uint64 { return c.applied }
+
+// Ballot returns the replica's term and vote.
+func (c *Core) Ballot() Ballot { return c.ballot }
+
+// Tail returns the entries behind index, which the log must still hold.
+func (c *Core) Tail(index uint64) []Entry {
+	return slices.Clone(c.log.slice(index+1, c.log.last()+1))
+}
+
 // Compact tells that the machine's state at index is kept as a snapshot.
 func (c *Core) Compact(index uint64, data []byte) Snapshot {
 	term, _ := c.log.term(index)
--- /dev/null
+++ b/quorum/members.go
@@ -0,0 +1,47 @@
+package quorum
+
+// Promotion returns the members with one learner that has caught up made a
+// voter, and false when there is none. A learner takes the place of the voter
+// that its instance was before it lost its disk; since one voter changes at a
+// time, that voter is removed by one change and the learner promoted by the
+// next, so the number of voters never grows by one that doesn't answer.
+func Promotion(members []Member, caughtUp func(id string) bool) ([]Member, bool) {
+	for _, learner := range members {
+		if learner.Voter || !caughtUp(learner.ID) {
+			continue
+		}
+		next := withoutInstance(members, learner.Instance)
+		if len(next) == len(members)-1 {
+			learner.Voter = true // its instance has no other member
+		}
+		return append(next, learner), true
+	}
+	return nil, false
+}
+
+// Joining returns the members with a new learner. Learners of the same
+// instance that came before it are dropped. It returns false when the learner
+// is a member already.
+func Joining(members []Member, learner Member) ([]Member, bool) {
+	learner.Voter = false
+	var next []Member
+	for _, m := range members {
+		if m.ID == learner.ID {
+			return nil, false
+		}
+		if m.Voter || m.Instance != learner.Instance {
+			next = append(next, m)
+		}
+	}
+	return append(next, learner), true
+}
+
+func withoutInstance(members []Member, instance string) []Member {
+	var rest []Member
+	for _, m := range members {
+		if m.Instance != instance {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -381,7 +381,7 @@
 		if err := r.options.Machine.Restore(s.Data); err != nil {
 			return err
 		}
-		entries := r.core.log.from(s.Index+1, int(^uint(0)>>1))
+		entries := r.core.Tail(s.Index)
 		if err := r.options.Keeper.Install(*s, r.core.ballot, entries); err != nil {
 			return err
 		}
@@ -501,6 +501,6 @@
 	}
 	s := r.core.Compact(r.core.applied, data)
 	r.snapAt = s.Index
-	entries := r.core.log.from(s.Index+1, int(^uint(0)>>1))
+	entries := r.core.Tail(s.Index)
 	return r.options.Keeper.Install(s, r.core.ballot, entries)
 }
