Prove that orders are fenced: deposed leaders, paused sidecars, crashes, lost answers

Cause: an engine never receives conflicting orders, and orders from a process that has lost its authority have no effect; engines may or may not check.

--- a/control/control.go
+++ b/control/control.go
@@ -69,7 +69,6 @@
 		folder   *journal.Folder // nil where UseDisk gave another disk
 		journal  *journal.Journal
 		state    *State
-		replica  *quorum.Replica
 		peers    *peers
 		holders  *holders
 		founding *founding
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -56,7 +56,6 @@
 		journal  *journal.Journal
 		core     *quorum.Core
 		state    *control.State
-		members  []quorum.Member
 		up       bool
 		paused   time.Time // until when it does nothing
 		held     []func()  // what comes in meanwhile
--- a/rank/rank_test.go
+++ b/rank/rank_test.go
@@ -27,7 +27,7 @@
 				}
 			}()
 			b.Lock()
-			b.Unlock()
+			defer b.Unlock()
 		})
 	}
 }
@@ -35,11 +35,11 @@
 // TestUnchecked is the twin: with the check off, the wrong order goes unseen.
 func TestUnchecked(t *testing.T) {
 	checked = false
-	defer func() { checked = true }()
+	t.Cleanup(func() { checked = true })
 	a := New(Fleet)
 	b := New(Control)
 	a.Lock()
+	defer a.Unlock()
 	b.Lock()
-	b.Unlock()
-	a.Unlock()
+	defer b.Unlock()
 }
--- a/sidecar/changes.go
+++ b/sidecar/changes.go
@@ -117,6 +117,9 @@
 }
 
 func (c *changes) mayOrder(wanted change.Change) bool {
+	if c.sidecar.unfenced {
+		return true
+	}
 	if !c.sidecar.member.Held() {
 		return false
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -95,6 +95,8 @@
 		busy     int // requests at the backend server
 		idle     chan struct{}
 		handed   map[uint64]time.Time // orders by intent -> when they were handed over
+
+		unfenced bool // authority isn't looked at; for a twin
 	}
 )
 
@@ -252,7 +254,7 @@
 // effect.
 func (s *Sidecar) Renewed(answer message.Renewed) {
 	s.mu.Lock()
-	if answer.Term < s.term {
+	if answer.Term < s.term && !s.unfenced {
 		s.mu.Unlock()
 		return
 	}
