Bring failures about against processes: rolling restart, kills, pauses, silent connections

Change: entries leave before they close (callers move first); engine streams that are silent for 2 s are asked for again over a new connection; tests with processes, signals and a relay that forgets flows.

--- /dev/null
+++ b/cmd/endivedeck/bench_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"endivedeck.example/control"
+	"endivedeck.example/demo"
+	"endivedeck.example/fault"
+	"endivedeck.example/interval"
+)
+
+const (
+	settleTime  = 4 * time.Second
+	measureTime = 8 * time.Second
+)
+
+// usage is what a process has used, by its own metrics.
+type usage struct {
+	cpu    float64 // seconds
+	memory float64 // resident bytes
+}
+
+func (s *site) usage(address string) usage {
+	s.t.Helper()
+	answer, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var u usage
+	scanner := bufio.NewScanner(answer.Body)
+	for scanner.Scan() {
+		name, value, _ := strings.Cut(scanner.Text(), " ")
+		number, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "process_cpu_seconds_total":
+			u.cpu = number
+		case "process_resident_memory_bytes":
+			u.memory = number
+		}
+	}
+	return u
+}
+
+// controlsOnly starts three control instances with their metrics open.
+func controlsOnly(b *testing.B) *site {
+	s := &site{t: b, step: "5ms", metrics: map[string]string{}}
+	s.open(0, 0)
+	return s
+}
+
+// BenchmarkHolders measures what control's leader, one of its followers and
+// the holders themselves use, by the number of holders, and how long a
+// contract takes from put to in force at all of them.
+func BenchmarkHolders(b *testing.B) {
+	for _, kind := range []string{"entry", "sidecar"} {
+		for _, count := range []int{10, 100, 300, 1000} {
+			b.Run(fmt.Sprintf("%s/%d", kind, count), func(b *testing.B) {
+				s := controlsOnly(b)
+				s.load(kind, count)
+				leader := s.leader()
+				before, begun := s.usage(s.metrics[leader]), time.Now()
+				holders := s.usage(s.metrics["load"])
+				interval.Wait(s.ctx, measureTime)
+				seconds := time.Since(begun).Seconds()
+				after, holdersAfter := s.usage(s.metrics[leader]), s.usage(s.metrics["load"])
+				took := s.putTimes(5)
+				b.ReportMetric(100*(after.cpu-before.cpu)/seconds, "leader-cpu-%")
+				b.ReportMetric(after.memory/(1<<20), "leader-MB")
+				b.ReportMetric(100*(holdersAfter.cpu-holders.cpu)/seconds/float64(count), "holder-cpu-%")
+				b.ReportMetric(holdersAfter.memory/(1<<20)/float64(count), "holder-MB")
+				b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "in-force-p50-ms")
+				b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "in-force-max-ms")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// load starts a process with holders and waits until all hold a lease.
+func (s *site) load(kind string, count int) {
+	s.t.Helper()
+	files, err := s.authority.Issue("load")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.metrics["load"] = address("tcp")
+	s.start("load", "load", "-holders", strconv.Itoa(count), "-kind", kind, "-control", strings.Join(s.controls(), ","),
+		"-authority", files.Authority, "-certificate", files.Certificate, "-key", files.Key, "-metrics", s.metrics["load"])
+	s.await("holders", func() bool {
+		status := s.operate(http.MethodGet, "/v1/status", nil).Status
+		return status != nil && status.Entries+status.Sidecars >= count
+	})
+	interval.Wait(s.ctx, settleTime)
+}
+
+// putTimes puts a contract again and again and returns how long each took to
+// be in force, in order of length.
+func (s *site) putTimes(times int) []time.Duration {
+	s.t.Helper()
+	var took []time.Duration
+	for i := range times {
+		begun := time.Now()
+		operated := s.operate(http.MethodPut, fmt.Sprintf("/v1/contracts/crews?replaces=%d", i), crews())
+		if operated.State != control.StateAccepted {
+			s.t.Fatalf("got state %q, want %s", operated.State, control.StateAccepted)
+		}
+		took = append(took, time.Since(begun))
+	}
+	slices.Sort(took)
+	return took
+}
+
+// BenchmarkPath measures a chat of 8 tokens and an order, directly at the
+// stand-in and through entry and sidecar, in pairs in one run.
+func BenchmarkPath(b *testing.B) {
+	s := &site{t: b, step: "1us", metrics: map[string]string{}}
+	s.open(1, 1)
+	s.operate(http.MethodPut, "/v1/contracts/crews?replaces=0", crews())
+	s.awaitServing(true)
+	engine := s.processes[modelName+"-1-engine"].args[2]
+	ledger := s.processes[serviceName+"-1-ledger"].args[2]
+	calls := []struct {
+		name string
+		do   func(i int) error
+	}{
+		{"chat/direct", func(i int) error { return directChat(s.ctx, engine, i) }},
+		{"chat/through", func(i int) error {
+			_, err := demo.Chat(s.ctx, demo.ChatCall{Address: s.entries[0], Key: callerKey, Class: "chat", Model: modelName, Text: fmt.Sprint("question ", i), Most: 8})
+			return err
+		}},
+		{"read/direct", func(int) error { return get(s.ctx, "http://"+ledger+"/stock") }},
+		{"read/through", func(int) error { return s.read(0) }},
+		{"order/direct", func(i int) error { return directOrder(s.ctx, ledger, i) }},
+		{"order/through", func(i int) error {
+			_, err := s.order(0, fmt.Sprint("bench-", time.Now().UnixNano(), i), "cuttings")
+			return err
+		}},
+	}
+	for _, call := range calls {
+		b.Run(call.name, func(b *testing.B) {
+			took := make([]time.Duration, 0, b.N)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				begun := time.Now()
+				if err := call.do(i); err != nil {
+					b.Fatal(err)
+				}
+				took = append(took, time.Since(begun))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
+
+func directChat(ctx context.Context, engine string, i int) error {
+	body := fmt.Sprintf(`{"id":"direct-%d-%d","model":"%s","prompt":"<user> question %d ","most":8}`, time.Now().UnixNano(), i, modelName, i)
+	return post(ctx, "http://"+engine+"/v1/streams", "", body)
+}
+
+func directOrder(ctx context.Context, ledger string, i int) error {
+	return post(ctx, "http://"+ledger+"/orders", fmt.Sprint("direct-", i), "cuttings")
+}
+
+func post(ctx context.Context, target, key, body string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Idempotency-Key", key)
+	return drain(r)
+}
+
+func get(ctx context.Context, target string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	return drain(r)
+}
+
+func drain(r *http.Request) error {
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	scanner := bufio.NewScanner(answer.Body)
+	for scanner.Scan() {
+	}
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return fault.New(fault.Broken, fault.Unknown, "got %s", answer.Status)
+	}
+	return scanner.Err()
+}
--- a/cmd/endivedeck/process_test.go
+++ b/cmd/endivedeck/process_test.go
@@ -43,7 +43,7 @@
 type (
 	// site is a deployment of separate processes.
 	site struct {
-		t         *testing.T
+		t         testing.TB
 		folder    string
 		authority *keys.Authority
 		founders  []control.Founder
@@ -51,6 +51,11 @@
 		entries   []string
 		processes map[string]*process
 		ctx       context.Context
+		step      string            // of the engines
+		metrics   map[string]string // metrics addresses by process; nil for none
+		relayed   bool              // connections to sidecars and engines go through relays
+		udp       []*udpRelay
+		tcp       []*tcpRelay
 	}
 
 	// process is one process of the built binary.
@@ -63,7 +68,7 @@
 )
 
 // binary builds the program once for all tests.
-func binary(t *testing.T) string {
+func binary(t testing.TB) string {
 	t.Helper()
 	binaryOnce.Do(func() {
 		folder, err := os.MkdirTemp("", "endivedeck-test-")
@@ -85,9 +90,20 @@
 
 // newSite starts three control instances, two entries, engines and ledgers.
 func newSite(t *testing.T, engines, ledgers int) *site {
+	t.Helper()
+	s := &site{t: t, step: "5ms"}
+	s.open(engines, ledgers)
+	return s
+}
+
+// open starts the site's processes.
+func (s *site) open(engines, ledgers int) {
+	t := s.t
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*longEnough)
-	s := &site{t: t, folder: t.TempDir(), processes: map[string]*process{}, ctx: ctx}
+	s.folder = t.TempDir()
+	s.processes = map[string]*process{}
+	s.ctx = ctx
 	t.Cleanup(func() {
 		s.end()
 		cancel()
@@ -110,12 +126,11 @@
 	for i := range ledgers {
 		s.startLedger(i)
 	}
-	for i := range 2 {
+	for i := range min(2, engines+ledgers) {
 		s.entries = append(s.entries, address("tcp"))
 		s.startEntry(i)
 	}
 	s.awaitBackends(engines + ledgers)
-	return s
 }
 
 func (s *site) startControl(i int) {
@@ -130,19 +145,22 @@
 
 func (s *site) startEntry(i int) {
 	s.startRole("entry", fmt.Sprintf("entry-%d", i+1), i, map[string]any{
-		"listen":  s.entries[i],
-		"control": s.controls(),
+		"listen":    s.entries[i],
+		"control":   s.controls(),
+		"leaveTime": "500ms",
 	})
 }
 
 func (s *site) startEngine(i int) {
 	name := fmt.Sprintf("%s-%d", modelName, i+1)
 	engine := address("tcp")
-	s.start(name+"-engine", "standin", "-listen", engine, "-step", "5ms", "-piece-tokens", "16", "-load-time", "300ms", "-fencing", "engine")
+	s.start(name+"-engine", "standin", "-listen", engine, "-step", s.step, "-piece-tokens", "16", "-load-time", "300ms", "-fencing", "-cross", "0.1", "engine")
+	listen := address("udp")
 	s.startRole("sidecar", name, i, map[string]any{
-		"listen":  address("udp"),
-		"control": s.controls(),
-		"engine":  map[string]any{"address": engine},
+		"listen":    listen,
+		"advertise": s.relayUDP(listen),
+		"control":   s.controls(),
+		"engine":    map[string]any{"address": s.relayTCP(engine)},
 	})
 }
 
@@ -172,7 +190,13 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	metrics := ""
+	if s.metrics != nil {
+		metrics = address("tcp")
+		s.metrics[instance] = metrics
+	}
 	text, err := json.MarshalIndent(map[string]any{
+		"metrics":       metrics,
 		"role":          role,
 		"instance":      instance,
 		"region":        "mekong-south",
@@ -423,3 +447,16 @@
 	defer listener.Close()
 	return listener.Addr().String()
 }
+
+func getJSON(ctx context.Context, target string, value any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	return json.NewDecoder(answer.Body).Decode(value)
+}
--- a/command/standin.go
+++ b/command/standin.go
@@ -31,6 +31,7 @@
 	lag     time.Duration
 	late    time.Duration
 	gap     float64
+	cross   float64
 	load    time.Duration
 	delay   time.Duration
 	dedupe  bool
@@ -61,6 +62,7 @@
 	f.DurationVar(&c.lag, "load-lag", 200*time.Millisecond, "how old load reports are")
 	f.DurationVar(&c.late, "event-lag", 500*time.Millisecond, "how late cache events are published")
 	f.Float64Var(&c.gap, "event-gap", 0.05, "the part of cache events that is lost")
+	f.Float64Var(&c.cross, "cross", 0, "the part of lines that comes doubled and crossed")
 	f.DurationVar(&c.load, "load-time", 3*time.Second, "to load a model or take another role")
 	f.DurationVar(&c.delay, "delay", 5*time.Millisecond, "ledger: time before an order is answered")
 	f.BoolVar(&c.dedupe, "dedupe", false, "ledger: answer a repeated Idempotency-Key from memory")
@@ -89,6 +91,7 @@
 		EventLag: c.late,
 		EventGap: c.gap,
 		LoadTime: c.load,
+		Cross:    c.cross,
 		Seed:     1,
 	})
 	if err != nil {
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -19,7 +18,8 @@
 
 const (
 	dialTime     = time.Second
-	askTime      = 2 * time.Second
+	askTime      = time.Second
+	silenceTime  = 2 * time.Second // without a line, until a stream is asked for over a new connection
 	maxLineBytes = 1 << 20
 	maxBodyBytes = 64 << 20
 	idleConns    = 64
@@ -105,36 +105,16 @@
 	return &Lines{base: "http://" + address, client: &http.Client{Transport: transport}}
 }
 
-// Generate implements Engine.
+// Generate implements Engine. A connection that brings nothing for
+// silenceTime may be lost without a sign: the stream is asked for again, from
+// where it was, over a new one.
 func (l *Lines) Generate(ctx context.Context, work message.Work, give func(message.Piece) error) error {
-	ask := streamRequest{
-		ID:       work.ID,
-		Model:    work.Model,
-		Prompt:   work.Prompt,
-		Given:    work.Offset,
-		Most:     work.Most,
-		Priority: work.Priority,
+	g := &generation{lines: l, work: work, offset: work.Offset, give: give}
+	begun, err := g.begin(ctx)
+	for begun && g.silent && ctx.Err() == nil {
+		err = g.resume(ctx)
 	}
-	body, err := l.post(ctx, "/v1/streams", ask)
-	if err != nil {
-		return err
-	}
-	defer body.Close()
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		var line streamLine
-		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
-			return fault.New(fault.Broken, fault.Unknown, "the engine sent a line that can't be read: %v", err)
-		}
-		if err := give(message.Piece(line)); err != nil {
-			return err
-		}
-		if line.End {
-			return nil
-		}
-	}
-	return fault.New(fault.Broken, fault.Unknown, "the engine broke the answer off: %v", scanner.Err())
+	return err
 }
 
 // Cancel implements Engine.
--- a/entry/call.go
+++ b/entry/call.go
@@ -21,6 +21,7 @@
 	finishTime  = 10 * time.Second
 	finishPause = 100 * time.Millisecond
 	openPause   = 200 * time.Millisecond
+	openTime    = 3 * time.Second // to wait for an earlier attempt
 	maxKeyBytes = 255
 )
 
@@ -168,11 +169,13 @@
 // earlier answers an order that was sent before. One that may still run is
 // waited for.
 func (d *Desk) earlier(ctx context.Context, c Call, accepted contract.Accepted, begun order.Begun) (order.Answer, error) {
+	waiting, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
 	for begun.Record.State != order.Done {
-		if !interval.Wait(ctx, openPause) {
+		if !interval.Wait(waiting, openPause) {
 			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
 		}
-		next, err := d.begin(ctx, c, accepted)
+		next, err := d.begin(waiting, c, accepted)
 		if err != nil {
 			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,7 @@
 		Limits    gate.Limits       `json:"limits"`
 		Silence   settings.Duration `json:"silence" range:"100ms..1m"` // between two pieces before an answer is asked for anew
 		Tries     int               `json:"tries" range:"1..16"`       // backend servers for one request
+		Leave     settings.Duration `json:"leaveTime" range:"0s..5m"`  // between a failing health check and the listener's end
 	}
 
 	// Entry is a running entry.
@@ -88,6 +89,7 @@
 		Limits:    gate.DefaultLimits(),
 		Silence:   settings.Duration(5 * time.Second),
 		Tries:     4,
+		Leave:     settings.Duration(2 * time.Second),
 	}
 }
 
@@ -175,9 +177,11 @@
 }
 
 // Stop implements kernel.Role: the health check fails, so that the balancer
-// moves callers, and requests that run end.
+// moves callers; after the leave time the listener closes, and requests that
+// run end.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.desk.leave()
+	e.gate.Leave(ctx, e.settings.Leave.Std())
 	err := e.gate.Stop(ctx)
 	e.member.Stop()
 	e.stop()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/interval"
 	"endivedeck.example/settings"
 )
 
@@ -106,6 +107,13 @@
 	return err
 }
 
+// Leave answers requests on for the given time, closing each connection after
+// its answer, so that callers move elsewhere before Stop.
+func (g *Gate) Leave(ctx context.Context, length time.Duration) {
+	g.server.SetKeepAlivesEnabled(false)
+	interval.Wait(ctx, length)
+}
+
 // Close cuts every connection at once.
 func (g *Gate) Close() {
 	_ = g.server.Close()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -147,7 +147,7 @@
 // Start opens the metrics listener and starts the role.
 func (k *Kernel) Start(ctx context.Context) error {
 	if address := k.host.Process.Metrics; address != "" {
-		report, err := gate.New(address, http.HandlerFunc(k.serveMetrics), gate.DefaultLimits(), nil)
+		report, err := gate.New(address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
 		if err != nil {
 			return err
 		}
@@ -192,13 +192,15 @@
 	return err
 }
 
-func (k *Kernel) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/metrics" {
-		http.NotFound(w, r)
-		return
-	}
-	k.host.Metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+// MetricsHandler serves a set of metrics, and those of the process, under
+// /metrics.
+func MetricsHandler(set *metrics.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
 }
 
 func newLog(process Process, out io.Writer) (*logrus.Entry, error) {
--- a/sidecar/fence_test.go
+++ b/sidecar/fence_test.go
@@ -38,8 +38,8 @@
 		done     uint64
 		changing int
 		down     bool
-		crash    bool          // crash halfway through the next order
-		lose     bool          // lose the answer to the next order
+		crash    bool      // crash halfway through the next order
+		lose     bool      // lose the answer to the next order
 		hold     time.Time // looks at the state that begin before end then
 		overlaps int
 		taken    []uint64
@@ -56,9 +56,8 @@
 	}
 
 	transcript struct {
-		mu    sync.Mutex
-		start time.Time
-		text  strings.Builder
+		mu   sync.Mutex
+		text strings.Builder
 	}
 
 	// bed is one sidecar with its engine and a control.
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -11,7 +11,7 @@
 
 const (
 	probePause = 250 * time.Millisecond
-	probeTime  = 2 * time.Second
+	probeTime  = 4 * time.Second
 )
 
 // probe reads the backend server's state and cache events again and again.
@@ -53,6 +53,9 @@
 	defer cancel()
 	s := p.sidecar
 	state, err := p.state(ctx)
+	if err != nil {
+		state, err = p.state(ctx) // over a new connection; the old one may only have gone silent
+	}
 	s.mu.Lock()
 	was := s.healthy
 	moved := s.state.Changing != state.Changing || s.state.Role != state.Role
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,6 +42,7 @@
 	// Settings is the section "sidecar" of a sidecar's settings.
 	Settings struct {
 		Listen    string            `json:"listen" need:"yes"` // address for entries
+		Advertise string            `json:"advertise"`         // address that entries dial, if not listen
 		Control   []string          `json:"control" need:"yes"`
 		Transport string            `json:"transport"`
 		Engine    EngineSettings    `json:"engine"`
@@ -240,7 +241,7 @@
 	ask.Backend = &message.Backend{
 		Name:          s.host.Process.Instance,
 		Incarnation:   s.incarnation,
-		Address:       s.settings.Listen,
+		Address:       s.address(),
 		FailureDomain: s.host.Process.FailureDomain,
 		Kind:          s.kind(),
 		Models:        s.state.Models,
@@ -344,6 +345,13 @@
 	return c.State == change.Announced
 }
 
+func (s *Sidecar) address() string {
+	if s.settings.Advertise != "" {
+		return s.settings.Advertise
+	}
+	return s.settings.Listen
+}
+
 func (s *Sidecar) kind() string {
 	if s.engine == nil {
 		return message.KindService
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -27,6 +27,7 @@
 		EventLag time.Duration // how late cache events are published
 		EventGap float64       // the part of cache events that is lost
 		LoadTime time.Duration // to load a model or to take another role
+		Cross    float64       // the part of lines that comes twice, or with another stream's line before it
 		Seed     uint64
 	}
 
--- a/standin/http.go
+++ b/standin/http.go
@@ -143,6 +143,8 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
+	w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
 	wake := make(chan struct{}, 1)
 	e.subscribe(s, wake)
 	defer e.unsubscribe(s, wake)
@@ -152,7 +154,7 @@
 			return
 		}
 		if line.Tokens > 0 || line.End {
-			if err := encoder.Encode(line); err != nil {
+			if err := e.encode(encoder, line); err != nil {
 				return
 			}
 			_ = control.Flush()
@@ -169,6 +171,26 @@
 	}
 }
 
+// encode writes a line, and now and then another stream's before it and the
+// same once more behind it.
+func (e *Engine) encode(encoder *json.Encoder, line StreamLine) error {
+	e.mu.Lock()
+	crossed := e.random.Float64() < e.options.Cross
+	e.mu.Unlock()
+	if !crossed {
+		return encoder.Encode(line)
+	}
+	other := line
+	other.ID = "another-stream"
+	other.End = true
+	for _, l := range []StreamLine{other, line, line} {
+		if err := encoder.Encode(l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (e *Engine) subscribe(s *stream, wake chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
