Count own work in flight since a load report, not all that was ever sent

Cause: in the path benchmark a single caller who asked one chat after another was refused as overloaded (36 requests for 32 slots): requests that had ended since the last report still counted. Ruled out: reports that come too seldom; they come every 0.5 s. Change: the report is corrected by how much the entry's own requests in flight have grown since it came. A piece that is reported evicted isn't taken for a gap in the events. Before: 40 requests one after another left a load of 40.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -182,7 +182,7 @@
 func pressureOf(candidates []routing.Candidate) admission.Pressure {
 	var p admission.Pressure
 	for _, c := range candidates {
-		p.Used += max(c.Own, c.Running+c.Queued+c.Since)
+		p.Used += c.Load()
 		p.Slots += c.Slots
 	}
 	return p
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,12 +35,12 @@
 		PieceTokens int
 		Own         int
 		OwnTodo     int
-		Since       int
+		OwnThen     int // this entry's requests in flight when the report came
 		Failures    int
 		RestUntil   time.Time
 		Rate        float64
 
-		prefixes map[uint64]time.Time // piece -> when it was last believed to be cached
+		prefixes map[uint64]time.Time // piece -> when it was last believed to be cached; zero when known to be gone
 	}
 
 	// Table holds the backend servers. Create it with New.
@@ -121,14 +121,14 @@
 	s.Role = g.Role
 	s.Load = g.Load
 	s.LoadAt = now.Add(-g.Load.Age)
-	s.Since = 0
+	s.OwnThen = s.Own
 	s.PieceTokens = g.PieceTokens
 	s.Models = map[string]bool{}
 	for _, model := range g.Models {
 		s.Models[model] = true
 	}
 	for _, hash := range g.Evicted {
-		delete(s.prefixes, hash)
+		s.remember(time.Time{}, hash) // known to be gone, which isn't a gap
 	}
 	for _, hash := range g.Cached {
 		s.remember(now, hash)
@@ -162,7 +162,7 @@
 			Slots:    s.Load.Capacity,
 			Own:      s.Own,
 			OwnTodo:  s.OwnTodo,
-			Since:    s.Since,
+			Since:    s.Own - s.OwnThen,
 			Age:      now.Sub(s.LoadAt),
 			Failures: s.Failures,
 			Rate:     s.Rate,
@@ -195,7 +195,6 @@
 		ticket.prefix = ask.Prefix(s.PieceTokens)
 	}
 	s.Own++
-	s.Since++
 	s.OwnTodo += todo
 	return ticket
 }
@@ -279,7 +278,7 @@
 			pieces = i + 1
 			continue
 		}
-		if gap {
+		if gap || ok && at.IsZero() {
 			break
 		}
 		gap = true
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -89,11 +89,7 @@
 	}
 	todo := float64(c.OwnTodo + r.Prompt - c.Hit)
 	wait := time.Duration(todo / rate * float64(time.Second))
-	load := c.Running + c.Queued + c.Since
-	if c.Own > load {
-		load = c.Own
-	}
-	if over := load - c.Slots; c.Slots > 0 && over >= 0 {
+	if over := c.Load() - c.Slots; c.Slots > 0 && over >= 0 {
 		wait += time.Duration(over+1) * slotTime
 	}
 	wait += time.Duration(c.Failures) * failureTime
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -50,7 +50,7 @@
 		Slots    int           // requests that run at once; 0 where it isn't known
 		Own      int           // this entry's requests in flight there
 		OwnTodo  int           // prompt tokens of those that have no token yet
-		Since    int           // this entry's requests sent there since the report
+		Since    int           // by how much this entry's requests there have grown since the report
 		Hit      int           // prompt tokens believed to be in its prefix cache
 		Age      time.Duration // of the report
 		Failures int           // in a row, most recently
@@ -65,5 +65,9 @@
 	}
 )
 
+// Load returns how many requests are believed to run or wait at a candidate:
+// the report, which is late, corrected by this entry's own requests since.
+func (c *Candidate) Load() int { return max(c.Own, c.Running+c.Queued+c.Since) }
+
 // None is the choice of no candidate.
 func None(reason string) Choice { return Choice{Index: -1, Reason: reason} }
