--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,73 @@
+// Package dispatch is one entry's decisions on a request, from admission to
+// the backend server, with the time passed in: the live path and the replay
+// use the same code.
+package dispatch
+
+import (
+	"time"
+
+	"endivedeck.example/admission"
+	"endivedeck.example/contract"
+	"endivedeck.example/fault"
+	"endivedeck.example/fleet"
+	"endivedeck.example/rank"
+	"endivedeck.example/routing"
+)
+
+type (
+	// Dispatcher decides for one entry. Create it with New.
+	Dispatcher struct {
+		Fleet  *fleet.Table
+		Limits *admission.Admission
+
+		mu     rank.Mutex // guards policy, which isn't safe for concurrent use
+		policy routing.Policy
+	}
+
+	// Decision is where a request goes, and why.
+	Decision struct {
+		Ticket     fleet.Ticket
+		Choice     routing.Choice
+		Candidates int
+	}
+)
+
+// New returns a dispatcher over the given tables.
+func New(table *fleet.Table, limits *admission.Admission, policy routing.Policy) *Dispatcher {
+	return &Dispatcher{Fleet: table, Limits: limits, mu: rank.New(rank.Fleet), policy: policy}
+}
+
+// Admit admits a request of a class or refuses it; nothing has run then.
+func (d *Dispatcher) Admit(now time.Time, accepted contract.Accepted, class string, ask fleet.Ask) (admission.Ticket, error) {
+	request := admission.Request{Accepted: accepted, Class: class, Engine: ask.Service == ""}
+	return d.Limits.Admit(now, request, pressureOf(d.Fleet.Candidates(now, ask)))
+}
+
+// Choose picks a backend server and notes that the request goes there. A
+// request that would get its first token too late is refused at once, since
+// waiting in vain would take the time from others.
+func (d *Dispatcher) Choose(now time.Time, r routing.Request, ask fleet.Ask) (Decision, error) {
+	candidates := d.Fleet.Candidates(now, ask)
+	d.mu.Lock()
+	choice := d.policy.Choose(r, candidates)
+	d.mu.Unlock()
+	decision := Decision{Choice: choice, Candidates: len(candidates)}
+	if choice.Index < 0 {
+		return decision, fault.New(fault.Unavailable, fault.No, "no backend server takes this request now")
+	}
+	if r.Limit > 0 && choice.Wait > r.Limit {
+		return decision, fault.New(fault.Overloaded, fault.No, "the first token would come after %v, the contract's limit is %v", choice.Wait.Round(time.Millisecond), r.Limit)
+	}
+	chosen := candidates[choice.Index]
+	decision.Ticket = d.Fleet.Send(now, chosen.Name, ask, max(0, r.Prompt-chosen.Hit))
+	return decision, nil
+}
+
+func pressureOf(candidates []routing.Candidate) admission.Pressure {
+	var p admission.Pressure
+	for i := range candidates {
+		p.Used += candidates[i].Load()
+		p.Slots += candidates[i].Slots
+	}
+	return p
+}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -7,11 +7,11 @@
 
 	"endivedeck.example/admission"
 	"endivedeck.example/contract"
+	"endivedeck.example/dispatch"
 	"endivedeck.example/fault"
 	"endivedeck.example/fleet"
 	"endivedeck.example/interval"
 	"endivedeck.example/pool"
-	"endivedeck.example/rank"
 	"endivedeck.example/routing"
 )
 
@@ -26,8 +26,7 @@
 		entry *Entry
 		left  atomic.Bool
 
-		mu     rank.Mutex // guards policy, which isn't safe for concurrent use
-		policy routing.Policy
+		dispatcher *dispatch.Dispatcher
 	}
 
 	// Caller is a customer who has shown a key.
@@ -60,7 +59,7 @@
 )
 
 func newDesk(e *Entry, policy routing.Policy) *Desk {
-	return &Desk{entry: e, mu: rank.New(rank.Fleet), policy: policy}
+	return &Desk{entry: e, dispatcher: dispatch.New(e.fleet, e.limits, policy)}
 }
 
 func (d *Desk) leave() { d.left.Store(true) }
@@ -120,10 +119,7 @@
 	if !isQuery && !accepted.Contract.AllowsService(ask.Service) {
 		return accepted, admission.Ticket{}, fault.New(fault.NotFound, fault.No, "the contract has no service %q", ask.Service)
 	}
-	now := time.Now()
-	pressure := pressureOf(d.entry.fleet.Candidates(now, ask))
-	request := admission.Request{Accepted: accepted, Class: class, Engine: isQuery}
-	ticket, err := d.entry.limits.Admit(now, request, pressure)
+	ticket, err := d.dispatcher.Admit(time.Now(), accepted, class, ask)
 	return accepted, ticket, err
 }
 
@@ -143,22 +139,17 @@
 	}
 }
 
-// choose picks a backend server and notes that a request goes there.
+// choose picks a backend server and writes the line that tells why.
 func (d *Desk) choose(r routing.Request, ask fleet.Ask) (fleet.Ticket, error) {
-	now := time.Now()
-	candidates := d.entry.fleet.Candidates(now, ask)
-	d.mu.Lock()
-	choice := d.policy.Choose(r, candidates)
-	d.mu.Unlock()
+	decision, err := d.dispatcher.Choose(time.Now(), r, ask)
 	line := d.entry.log.WithField("request", r.ID).WithField("customer", r.Customer).WithField("class", r.Class).
-		WithField("candidates", len(candidates)).WithField("reason", choice.Reason)
-	if choice.Index < 0 {
-		line.Info("routing: none")
-		return fleet.Ticket{}, fault.New(fault.Unavailable, fault.No, "no backend server takes this request now")
-	}
-	chosen := candidates[choice.Index]
-	line.WithField("backend", chosen.Name).Info("routing")
-	return d.entry.fleet.Send(now, chosen.Name, ask, max(0, r.Prompt-chosen.Hit)), nil
+		WithField("candidates", decision.Candidates).WithField("reason", decision.Choice.Reason)
+	if err != nil {
+		line.WithField("error", fault.From(err).Text).Info("routing: none")
+		return fleet.Ticket{}, err
+	}
+	line.WithField("backend", decision.Ticket.Name).Info("routing")
+	return decision.Ticket, nil
 }
 
 // onWorker runs work on the pool and waits for it, so that the number of
@@ -178,12 +169,3 @@
 
 // Do implements pool.Task.
 func (t *deskTask) Do() { t.done <- t.work() }
-
-func pressureOf(candidates []routing.Candidate) admission.Pressure {
-	var p admission.Pressure
-	for _, c := range candidates {
-		p.Used += c.Load()
-		p.Slots += c.Slots
-	}
-	return p
-}
--- a/entry/query.go
+++ b/entry/query.go
@@ -101,11 +101,17 @@
 			return r.usage, err
 		}
 		r.ask.Not = r.tried
+		if r.usage.Answer > 0 {
+			r.request.Limit = 0 // the first token was given
+		}
 		ticket, err := r.desk.choose(r.request, r.ask)
 		if err != nil {
 			if last == nil {
 				last = r.ran(err)
 			}
+			if fault.Of(err) == fault.Overloaded && !r.sent {
+				return r.usage, last
+			}
 			clear(r.tried) // all were tried; after a pause they may do
 			if !interval.Wait(ctx, retryPause) {
 				return r.usage, last
--- /dev/null
+++ b/roles/baselines.go
@@ -0,0 +1,55 @@
+package roles
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"endivedeck.example/change"
+)
+
+var (
+	_ Policy = Fixed{}
+	_ Policy = Greedy{}
+)
+
+type (
+	// Fixed never changes a role.
+	Fixed struct{}
+
+	// Greedy follows the mix of the moment at once.
+	Greedy struct{}
+)
+
+func init() {
+	Policies.Register("fixed", func() Policy { return Fixed{} })
+	Policies.Register("greedy", func() Policy { return Greedy{} })
+}
+
+// Decide implements Policy.
+func (Fixed) Decide(time.Time, State) []Change { return nil }
+
+// Decide implements Policy.
+func (Greedy) Decide(_ time.Time, s State) []Change {
+	total := s.Demand.Heavy + s.Demand.Light
+	if total == 0 {
+		return nil
+	}
+	want := int(math.Round(float64(len(s.Engines)) * s.Demand.Heavy / total))
+	have := 0
+	for _, e := range s.Engines {
+		if e.Role == change.Prefill {
+			have++
+		}
+	}
+	from, to := change.Both, change.Prefill
+	if have > want {
+		from, to = change.Prefill, change.Both
+	}
+	for _, e := range s.Engines {
+		if have != want && e.Role == from && !e.Changing && !e.Leaving {
+			return []Change{{Engine: e.Name, Role: to, Reason: fmt.Sprintf("%d of %d wanted now", want, len(s.Engines))}}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/roles/steady.go
@@ -0,0 +1,171 @@
+package roles
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"endivedeck.example/change"
+)
+
+const (
+	fastWeight   = 0.3              // of the newest second in the quick average
+	slowWeight   = 0.05             // of the newest second in the slow average
+	target       = 0.7              // of an engine's time that is planned with
+	leastRest    = 60 * time.Second // between two changes of one engine
+	calmRest     = 60 * time.Second // added to that at full calm
+	leastHold    = 4 * time.Second  // that a need must have lasted
+	calmHold     = 20 * time.Second // added to that at full calm
+	mostChanging = 1                // changes at once in a failure domain
+)
+
+var _ Policy = (*Steady)(nil)
+
+// Steady changes roles when the need for it has lasted, is seen by a quick and
+// a slow average of the mix alike, and is worth the time that an engine is
+// away. The calmer the contracts want it, the longer it waits.
+type Steady struct {
+	last    time.Time
+	quick   Demand
+	slow    Demand
+	since   time.Time // when the wanted number began to differ
+	wanted  int
+	changed map[string]time.Time // engine -> its last change
+}
+
+func init() {
+	Policies.Register("steady", func() Policy {
+		return &Steady{changed: map[string]time.Time{}}
+	})
+}
+
+// Decide implements Policy.
+func (p *Steady) Decide(now time.Time, s State) []Change {
+	p.observe(s.Demand)
+	have, free := p.count(s)
+	want := p.want(s)
+	if want == have {
+		p.since = time.Time{}
+		return nil
+	}
+	if p.since.IsZero() || (want > have) != (p.wanted > have) {
+		p.since = now
+	}
+	p.wanted = want
+	hold := leastHold + time.Duration(s.Calm*float64(calmHold))
+	if now.Sub(p.since) < hold || !p.worth(s, want-have) {
+		return nil
+	}
+	return p.pick(now, s, want, have, free)
+}
+
+func (p *Steady) observe(d Demand) {
+	if p.last.IsZero() && p.quick == (Demand{}) {
+		p.quick, p.slow = d, d
+	}
+	p.quick = mix(p.quick, d, fastWeight)
+	p.slow = mix(p.slow, d, slowWeight)
+}
+
+// count returns the prefill engines and all that are there.
+func (p *Steady) count(s State) (have, all int) {
+	for _, e := range s.Engines {
+		if e.Leaving {
+			continue
+		}
+		all++
+		if e.Role == change.Prefill {
+			have++
+		}
+	}
+	return have, all
+}
+
+// want returns how many engines should work through long prompts: as many as
+// their work fills, but no more than the rest of the work leaves.
+func (p *Steady) want(s State) int {
+	_, all := p.count(s)
+	quick := int(math.Floor(p.quick.Heavy / target))
+	slow := int(math.Floor(p.slow.Heavy / target))
+	want := min(quick, slow)
+	if have, _ := p.count(s); have > max(quick, slow) {
+		want = max(quick, slow)
+	} else if have > want {
+		want = have
+	}
+	spare := all - int(math.Ceil(p.slow.Light/target))
+	return max(0, min(want, spare, all-1))
+}
+
+// worth compares what a change gains while the mix lasts, which is taken to be
+// as long as it took to be sure of it, with the time that an engine is away.
+func (p *Steady) worth(s State, difference int) bool {
+	gain := math.Abs(p.quick.Heavy-p.slow.Heavy) + float64(abs(difference))*target
+	lasts := leastRest.Seconds()
+	return gain*lasts > s.Cost.Seconds()*(1+4*s.Calm)
+}
+
+// pick takes an engine that hasn't changed for long, in the failure domain
+// that has the most of the kind, within the limits of its domain.
+func (p *Steady) pick(now time.Time, s State, want, have, _ int) []Change {
+	to := change.Prefill
+	if want < have {
+		to = change.Both
+	}
+	rest := leastRest + time.Duration(s.Calm*float64(calmRest))
+	takers, changing := perDomain(s)
+	best := -1
+	for i, e := range s.Engines {
+		isPrefill := e.Role == change.Prefill
+		if e.Changing || e.Leaving || isPrefill == (to == change.Prefill) {
+			continue
+		}
+		if at, ok := p.changed[e.Name]; ok && now.Sub(at) < rest {
+			continue
+		}
+		if changing[e.Domain] >= mostChanging || to == change.Prefill && takers[e.Domain] <= s.Floor {
+			continue
+		}
+		if best < 0 || takers[e.Domain] > takers[s.Engines[best].Domain] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	e := s.Engines[best]
+	p.changed[e.Name] = now
+	p.since = time.Time{}
+	reason := fmt.Sprintf("long prompts take %.1f engines now, %.1f over a while; %d of %d wanted", p.quick.Heavy, p.slow.Heavy, want, len(s.Engines))
+	return []Change{{Engine: e.Name, Role: to, Reason: reason}}
+}
+
+// perDomain counts, by failure domain, the engines that take chats and those
+// that change.
+func perDomain(s State) (takers, changing map[string]int) {
+	takers = map[string]int{}
+	changing = map[string]int{}
+	for _, e := range s.Engines {
+		if e.Changing {
+			changing[e.Domain]++
+		}
+		if e.Role != change.Prefill && !e.Leaving && !e.Changing {
+			takers[e.Domain]++
+		}
+	}
+	return takers, changing
+}
+
+func mix(old, newest Demand, weight float64) Demand {
+	return Demand{
+		Heavy: old.Heavy + weight*(newest.Heavy-old.Heavy),
+		Light: old.Light + weight*(newest.Light-old.Light),
+	}
+}
+
+func abs(n int) int {
+	if n < 0 {
+		return -n
+	}
+	return n
+}
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"endivedeck.example/change"
 )
 
 const (
@@ -13,6 +15,12 @@
 	failureTime = 2 * time.Second        // added for each failure in a row
 	mostTries   = 8                      // candidates that are looked at by chance
 	hitTries    = 4                      // candidates that are looked at for their cache
+	misfitTime  = time.Second            // against a candidate whose role doesn't suit the request
+	heldPart    = 0.25                   // of the time that an answer is held up, against the candidate
+
+	// HeavyPrompt is the number of prompt tokens, cached ones not counted,
+	// from which a request is work for engines of the role prefill.
+	HeavyPrompt = 2048
 )
 
 var _ Policy = (*Expected)(nil)
@@ -32,10 +40,13 @@
 		return None("no candidates")
 	}
 	best := Choice{Index: -1}
+	var least time.Duration
 	consider := func(i int) {
-		wait := ExpectedWait(r, candidates[i])
-		if best.Index < 0 || wait < best.Wait {
+		wait := ExpectedWait(r, &candidates[i])
+		cost := wait + harm(r, &candidates[i])
+		if best.Index < 0 || cost < least {
 			best = Choice{Index: i, Wait: wait}
+			least = cost
 		}
 	}
 	for _, i := range p.longestHits(candidates) {
@@ -80,21 +91,40 @@
 }
 
 // ExpectedWait returns the expected time to the request's first token at a
-// candidate: what is queued before it, the prompt tokens that are still to be
-// worked through, its own among them, and what failures and distance add.
-func ExpectedWait(r Request, c Candidate) time.Duration {
-	rate := c.Rate
-	if rate <= 0 {
-		rate = defaultRate
-	}
-	todo := float64(c.OwnTodo + r.Prompt - c.Hit)
-	wait := time.Duration(todo / rate * float64(time.Second))
+// candidate: what is queued before it, and the prompt tokens that are still to
+// be worked through, its own among them.
+func ExpectedWait(r Request, c *Candidate) time.Duration {
+	todo := float64(c.OwnTodo + max(0, r.Prompt-c.Hit))
+	wait := time.Duration(todo / rateOf(c) * float64(time.Second))
 	if over := c.Load() - c.Slots; c.Slots > 0 && over >= 0 {
 		wait += time.Duration(over+1) * slotTime
 	}
-	wait += time.Duration(c.Failures) * failureTime
 	if c.Domain != r.Domain {
 		wait += farTime
 	}
 	return wait
 }
+
+// harm returns what speaks against a candidate beside the request's own wait:
+// failures, an engine's role that doesn't suit the request, and how long the
+// prompt would hold up the answers that are on their way there.
+func harm(r Request, c *Candidate) time.Duration {
+	cost := time.Duration(c.Failures) * failureTime
+	todo := max(0, r.Prompt-c.Hit)
+	heavy := todo >= HeavyPrompt
+	switch {
+	case heavy && c.Role == change.Decode, !heavy && c.Role == change.Prefill:
+		cost += misfitTime
+	case heavy && c.Role == change.Both:
+		held := float64(todo) / rateOf(c) * float64(c.Load()) * heldPart
+		cost += time.Duration(held * float64(time.Second))
+	}
+	return cost
+}
+
+func rateOf(c *Candidate) float64 {
+	if c.Rate <= 0 {
+		return defaultRate
+	}
+	return c.Rate
+}
--- a/sidecar/grants.go
+++ b/sidecar/grants.go
@@ -13,9 +13,9 @@
 
 const (
 	// GrantTime is how long one grant lets an entry send new work.
-	GrantTime = 2 * time.Second
+	GrantTime = 3 * time.Second
 
-	grantPause = 500 * time.Millisecond
+	grantPause = time.Second
 	mostEvents = 4096 // cache events in one grant
 )
 
@@ -50,7 +50,8 @@
 	}
 }
 
-// run sends grants to all entries, at least every grantPause.
+// run sends grants to all entries, at least every grantPause; the probe asks
+// for more while the load changes.
 func (g *grants) run(ctx context.Context) {
 	defer g.sidecar.running.Done()
 	ticker := time.NewTicker(grantPause)
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	probePause = 250 * time.Millisecond
+	probePause = 250 * time.Millisecond // while requests run
+	idlePause  = time.Second            // while none do
 	probeTime  = 4 * time.Second
 )
 
@@ -35,13 +36,17 @@
 
 func (p *probe) run(ctx context.Context) {
 	defer p.sidecar.running.Done()
-	ticker := time.NewTicker(probePause)
-	defer ticker.Stop()
+	timer := time.NewTimer(probePause)
+	defer timer.Stop()
 	for {
+		timer.Reset(probePause)
+		if !p.sidecar.working() {
+			timer.Reset(idlePause)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-p.now:
 		}
 		p.look(ctx)
@@ -59,6 +64,7 @@
 	s.mu.Lock()
 	was := s.healthy
 	moved := s.state.Changing != state.Changing || s.state.Role != state.Role
+	busier := s.state.Load.Running != state.Load.Running || s.state.Load.Queued != state.Load.Queued
 	s.healthy = err == nil
 	if err == nil {
 		s.state = state
@@ -68,8 +74,10 @@
 		s.log.WithField("healthy", err == nil).Warn("the backend server's health changed")
 		p.after = 0 // an engine that comes back counts its events anew
 	}
-	if was != (err == nil) || moved {
+	if was != (err == nil) || moved || busier {
 		s.grants.push()
+	}
+	if was != (err == nil) || moved {
 		s.changes.kick()
 	}
 	if caching, ok := s.engine.(engine.Caching); ok && err == nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -290,6 +290,9 @@
 		return fault.New(fault.Unavailable, fault.No, "the backend server takes no new work")
 	}
 	s.busy++
+	if s.busy == 1 {
+		s.probe.kick()
+	}
 	return nil
 }
 
@@ -352,6 +355,13 @@
 	return s.settings.Listen
 }
 
+// working reports whether requests run at the backend server.
+func (s *Sidecar) working() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy > 0 || s.state.Load.Running > 0
+}
+
 func (s *Sidecar) kind() string {
 	if s.engine == nil {
 		return message.KindService
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -14,6 +14,11 @@
 	"time"
 )
 
+const (
+	prefillFactor = 2
+	decodePart    = 8
+)
+
 type (
 	// Shape describes an engine.
 	Shape struct {
@@ -174,7 +179,7 @@
 // prefill works through prompts, the highest priority first, and returns the
 // time that it takes.
 func (b *Batch) prefill() time.Duration {
-	left := b.Shape.ChunkTokens
+	left := b.chunk()
 	tokens := 0
 	for priority := 9; priority >= 0 && left > 0; priority-- {
 		for _, s := range b.Running {
@@ -194,6 +199,18 @@
 	return time.Duration(float64(tokens) / b.Shape.PrefillRate * float64(time.Second))
 }
 
+// chunk returns how many prompt tokens go into one step. An engine that takes
+// prompts works in large steps; one that decodes keeps its steps short.
+func (b *Batch) chunk() int {
+	switch b.Role {
+	case "prefill":
+		return b.Shape.ChunkTokens * prefillFactor
+	case "decode":
+		return b.Shape.ChunkTokens / decodePart
+	}
+	return b.Shape.ChunkTokens
+}
+
 // decode makes one token for each sequence whose prompt is worked through.
 func (b *Batch) decode() ([]Made, int) {
 	var made []Made
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -27,11 +27,11 @@
 	MaxFrame = 64 << 20
 
 	// Heartbeat is the time between signs of life on an idle connection.
-	Heartbeat = 500 * time.Millisecond
+	Heartbeat = 900 * time.Millisecond
 
 	// Silence is the time without any sign of life after which a connection
 	// is given up.
-	Silence = 2 * time.Second
+	Silence = 2500 * time.Millisecond
 
 	firstFrameTime = 5 * time.Second
 	growBytes      = 64 << 10
