Keep long prompts and chats apart by routing, lend shares, and use subsets

Change: policy parted: every entry computes alike which engines are left to long prompts, from the mix it sees; steady changes roles only when answers miss their limits all the same; admission accounts engines' time by customer and lends until half of it is asked for; the prefill rate is learned from long prompts alone; entries use a subset of 100 by rendezvous hash.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -7,6 +7,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -17,8 +18,15 @@
 )
 
 const (
-	shedFrom = 0.8   // of the fleet in use, from where the lowest priority is refused
-	shedStep = 0.025 // more for each level of priority
+	shedFrom  = 0.8   // of the slots in use, from where the lowest priority is refused
+	shedStep  = 0.025 // more for each level of priority
+	lendUntil = 0.5   // of the engines' time asked for, from where nobody gets more than their share
+
+	workTime     = 5 * time.Second        // over which work is averaged
+	tokenTime    = 600 * time.Microsecond // of an engine for one answer token among many
+	defaultRate  = 10_000.0               // prompt tokens a second, where it isn't known
+	firstAnswer  = 128.0                  // tokens that an answer is taken to have at first
+	answerWeight = 0.05                   // of the newest answer in the average
 )
 
 type (
@@ -27,6 +35,7 @@
 		Accepted contract.Accepted
 		Class    string
 		Engine   bool // it takes a slot of an engine
+		Prompt   int  // tokens that no engine is believed to have cached
 	}
 
 	// Split says which part of each limit this entry has.
@@ -39,6 +48,9 @@
 	Pressure struct {
 		Used  int // requests running or queued
 		Slots int // requests that can run at once; 0 where it isn't known
+
+		Engines int     // that may take the request
+		Rate    float64 // prompt tokens a second of one engine; 0 where it isn't known
 	}
 
 	// Ticket is an admitted request; give it back with Release.
@@ -52,7 +64,15 @@
 		mu       rank.Mutex
 		split    Split
 		uses     map[key]*use
-		customer map[string]int // requests in engines by customer
+		customer map[string]int   // requests in engines by customer
+		works    map[string]*work // engines' time by customer
+		total    work
+	}
+
+	// work is engines' time a second, averaged over workTime.
+	work struct {
+		at   time.Time
+		rate float64
 	}
 
 	key struct{ customer, class string }
@@ -63,6 +83,7 @@
 		limiter  *rate.Limiter
 		most     int
 		running  int
+		answer   float64 // tokens that an answer has on average
 	}
 )
 
@@ -73,6 +94,7 @@
 		split:    Split{Entries: 1},
 		uses:     map[key]*use{},
 		customer: map[string]int{},
+		works:    map[string]*work{},
 	}
 }
 
@@ -85,6 +107,13 @@
 	}
 }
 
+// Split returns the part of each limit that this entry has.
+func (a *Admission) Split() Split {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.split
+}
+
 // Admit lets a request begin or refuses it with OverLimit or Overloaded.
 func (a *Admission) Admit(now time.Time, r Request, p Pressure) (Ticket, error) {
 	class, ok := r.Accepted.Contract.Classes[r.Class]
@@ -101,22 +130,32 @@
 	if r.Engine && a.sheds(class, r.Accepted.Contract, p) {
 		return Ticket{}, fault.New(fault.Overloaded, fault.No, "the fleet is full for class %s: %d requests for %d slots", r.Class, p.Used, p.Slots)
 	}
+	if r.Engine && !a.lends(now, r, p) {
+		return Ticket{}, fault.New(fault.Overloaded, fault.No, "the customer is above its share and the fleet has no more to lend")
+	}
 	if !u.limiter.AllowN(now, 1) {
 		return Ticket{}, fault.New(fault.OverLimit, fault.No, "the rate of class %s is used up", r.Class)
 	}
 	u.running++
 	if r.Engine {
 		a.customer[customer]++
+		spent := u.work(r, p)
+		a.workOf(customer).add(now, spent)
+		a.total.add(now, spent)
 	}
 	return Ticket{key: key{customer, r.Class}, engine: r.Engine}, nil
 }
 
-// Release gives back what a request used.
-func (a *Admission) Release(t Ticket) {
+// Release gives back what a request used. Its answer had the given number of
+// tokens, from which the work of later ones is estimated.
+func (a *Admission) Release(t Ticket, answer int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if u := a.uses[t.key]; u != nil {
 		u.running--
+		if answer > 0 {
+			u.answer += answerWeight * (float64(answer) - u.answer)
+		}
 	}
 	if t.engine {
 		a.customer[t.key.customer]--
@@ -126,6 +165,49 @@
 	}
 }
 
+// lends decides by the engines' time that is asked for: what others leave
+// unused is lent, until the fleet is half in use; from there a customer gets
+// its share and no more, so that nobody takes from another's.
+func (a *Admission) lends(now time.Time, r Request, p Pressure) bool {
+	if p.Engines == 0 {
+		return true
+	}
+	fleet := float64(p.Engines) / float64(max(1, a.split.Entries))
+	total := a.total.now(now) / fleet
+	mine := a.workOf(r.Accepted.Contract.Customer).now(now) / fleet
+	return total < lendUntil || mine < r.Accepted.Contract.Share
+}
+
+func (a *Admission) workOf(customer string) *work {
+	w := a.works[customer]
+	if w == nil {
+		w = &work{}
+		a.works[customer] = w
+	}
+	return w
+}
+
+// work returns the engine time in seconds that a request is expected to take.
+func (u *use) work(r Request, p Pressure) float64 {
+	rate := p.Rate
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	return float64(r.Prompt)/rate + u.answer*tokenTime.Seconds()
+}
+
+func (w *work) now(now time.Time) float64 {
+	if w.at.IsZero() {
+		return 0
+	}
+	return w.rate * math.Exp(-now.Sub(w.at).Seconds()/workTime.Seconds())
+}
+
+func (w *work) add(now time.Time, seconds float64) {
+	w.rate = w.now(now) + seconds/workTime.Seconds()
+	w.at = now
+}
+
 // sheds decides under overload: a class is refused from a use of the fleet
 // that rises with its priority, and a customer within its share later than
 // one above it.
@@ -147,7 +229,7 @@
 func (a *Admission) use(now time.Time, k key, revision uint64, class contract.Class) *use {
 	u := a.uses[k]
 	if u == nil {
-		u = &use{}
+		u = &use{answer: firstAnswer}
 		a.uses[k] = u
 	}
 	if u.limiter != nil && u.revision == revision && u.split == a.split {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,10 +37,18 @@
 	return &Dispatcher{Fleet: table, Limits: limits, mu: rank.New(rank.Fleet), policy: policy}
 }
 
-// Admit admits a request of a class or refuses it; nothing has run then.
-func (d *Dispatcher) Admit(now time.Time, accepted contract.Accepted, class string, ask fleet.Ask) (admission.Ticket, error) {
-	request := admission.Request{Accepted: accepted, Class: class, Engine: ask.Service == ""}
-	return d.Limits.Admit(now, request, pressureOf(d.Fleet.Candidates(now, ask)))
+// Admit admits a request of a class, with a prompt of so many tokens, or
+// refuses it; nothing has run then.
+func (d *Dispatcher) Admit(now time.Time, accepted contract.Accepted, class string, prompt int, ask fleet.Ask) (admission.Ticket, error) {
+	candidates := d.Fleet.Candidates(now, ask)
+	pressure, hit := pressureOf(candidates)
+	request := admission.Request{
+		Accepted: accepted,
+		Class:    class,
+		Engine:   ask.Service == "",
+		Prompt:   max(0, prompt-hit),
+	}
+	return d.Limits.Admit(now, request, pressure)
 }
 
 // Choose picks a backend server and notes that the request goes there. A
@@ -48,6 +56,8 @@
 // waiting in vain would take the time from others.
 func (d *Dispatcher) Choose(now time.Time, r routing.Request, ask fleet.Ask) (Decision, error) {
 	candidates := d.Fleet.Candidates(now, ask)
+	r.At = now
+	r.Entries = d.Limits.Split().Entries
 	d.mu.Lock()
 	choice := d.policy.Choose(r, candidates)
 	d.mu.Unlock()
@@ -63,11 +73,23 @@
 	return decision, nil
 }
 
-func pressureOf(candidates []routing.Candidate) admission.Pressure {
-	var p admission.Pressure
+// pressureOf sums the candidates up, and returns the most tokens of the prompt
+// that one of them is believed to have cached.
+func pressureOf(candidates []routing.Candidate) (p admission.Pressure, hit int) {
+	known := 0
 	for i := range candidates {
-		p.Used += candidates[i].Load()
-		p.Slots += candidates[i].Slots
+		c := &candidates[i]
+		p.Used += c.Load()
+		p.Slots += c.Slots
+		hit = max(hit, c.Hit)
+		if c.Rate > 0 {
+			p.Rate += c.Rate
+			known++
+		}
+	}
+	p.Engines = len(candidates)
+	if known > 0 {
+		p.Rate /= float64(known)
 	}
-	return p
+	return p, hit
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -62,11 +62,11 @@
 	if !c.Repeatable() && (c.Key == "" || len(c.Key) > maxKeyBytes) {
 		return order.Answer{}, fault.New(fault.Malformed, fault.No, "an order needs an Idempotency-Key of 1 to %d bytes", maxKeyBytes)
 	}
-	accepted, ticket, err := d.admit(c.Caller, c.Class, false, fleet.Ask{Service: c.Service})
+	accepted, ticket, err := d.admit(c.Caller, c.Class, 0, fleet.Ask{Service: c.Service})
 	if err != nil {
 		return order.Answer{}, err
 	}
-	defer d.entry.limits.Release(ticket)
+	defer d.entry.limits.Release(ticket, 0)
 	class := accepted.Contract.Classes[c.Class]
 	ctx, cancel := context.WithTimeout(ctx, class.Whole.Std())
 	defer cancel()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -105,7 +105,7 @@
 
 // admit admits a request by the contract in force now, which may be newer
 // than the one that the caller was identified by.
-func (d *Desk) admit(caller Caller, class string, isQuery bool, ask fleet.Ask) (contract.Accepted, admission.Ticket, error) {
+func (d *Desk) admit(caller Caller, class string, tokens int, ask fleet.Ask) (contract.Accepted, admission.Ticket, error) {
 	if err := d.mayServe(); err != nil {
 		return contract.Accepted{}, admission.Ticket{}, err
 	}
@@ -113,13 +113,13 @@
 	if !ok || accepted.Retired {
 		return accepted, admission.Ticket{}, fault.New(fault.Forbidden, fault.No, "the contract is retired")
 	}
-	if isQuery && !accepted.Contract.AllowsModel(ask.Model) {
+	if ask.Service == "" && !accepted.Contract.AllowsModel(ask.Model) {
 		return accepted, admission.Ticket{}, fault.New(fault.NotFound, fault.No, "the contract has no model %q", ask.Model)
 	}
-	if !isQuery && !accepted.Contract.AllowsService(ask.Service) {
+	if ask.Service != "" && !accepted.Contract.AllowsService(ask.Service) {
 		return accepted, admission.Ticket{}, fault.New(fault.NotFound, fault.No, "the contract has no service %q", ask.Service)
 	}
-	ticket, err := d.dispatcher.Admit(time.Now(), accepted, class, ask)
+	ticket, err := d.dispatcher.Admit(time.Now(), accepted, class, tokens, ask)
 	return accepted, ticket, err
 }
 
--- a/entry/query.go
+++ b/entry/query.go
@@ -55,14 +55,14 @@
 	return usage, err
 }
 
-func (d *Desk) answer(ctx context.Context, q Query, reader Reader) (Usage, error) {
+func (d *Desk) answer(ctx context.Context, q Query, reader Reader) (usage Usage, err error) {
 	tokens := prompt.Tokens(q.Prompt)
 	ask := fleet.Ask{Model: q.Model, Prefix: prefixes(q)}
-	accepted, ticket, err := d.admit(q.Caller, q.Class, true, ask)
+	accepted, ticket, err := d.admit(q.Caller, q.Class, tokens, ask)
 	if err != nil {
 		return Usage{}, err
 	}
-	defer d.entry.limits.Release(ticket)
+	defer func() { d.entry.limits.Release(ticket, usage.Answer) }()
 	class := accepted.Contract.Classes[q.Class]
 	now := time.Now()
 	run := &query{
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"endivedeck.example/fleet"
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
 )
@@ -45,6 +46,7 @@
 
 // announce takes in what control knows of the backend servers.
 func (w *watchers) announce(backends []message.Backend) {
+	backends = fleet.Subset(w.entry.host.Process.Instance, backends, w.entry.settings.Subset)
 	added, gone := w.entry.fleet.Announce(time.Now(), backends)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	restTime     = time.Second // a backend server that failed rests for so long, doubled by each failure
 	mostRests    = 5
 	rateWeight   = 0.2
+	rateTokens   = 1024 // a prompt's least tokens to learn the rate from; a step's own time hides that of shorter ones
 )
 
 type (
@@ -213,7 +214,7 @@
 		return
 	}
 	took := now.Sub(ticket.sent).Seconds()
-	if took > 0 && ticket.todo > 0 {
+	if took > 0 && ticket.todo >= rateTokens {
 		seen := float64(max(s.OwnTodo, ticket.todo)) / took
 		if s.Rate == 0 {
 			s.Rate = seen
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -68,3 +68,39 @@
 	show("leaves")
 	golden.Check(t, "table.golden", seen.String())
 }
+
+// TestSubset checks that subsets of 100 keep the use of 2,000 backend servers
+// by 400 entries within bounds, and that one that goes changes little.
+func TestSubset(t *testing.T) {
+	var backends []message.Backend
+	for i := range 2000 {
+		backends = append(backends, message.Backend{Name: fmt.Sprint("backend-", i), Models: []string{"m"}})
+	}
+	uses := map[string]int{}
+	for e := range 400 {
+		entry := fmt.Sprint("entry-", e)
+		subset := Subset(entry, backends, 100)
+		for _, b := range subset {
+			uses[b.Name]++
+		}
+		less := Subset(entry, backends[1:], 100)
+		same := map[string]bool{}
+		for _, b := range subset {
+			same[b.Name] = true
+		}
+		changed := 0
+		for _, b := range less {
+			if !same[b.Name] {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Fatalf("%s: got %d changes for one backend server that is gone, want 1 at most", entry, changed)
+		}
+	}
+	for _, b := range backends {
+		if got := uses[b.Name]; got < 5 || got > 45 {
+			t.Errorf("%s is used by %d entries, want about 20", b.Name, got)
+		}
+	}
+}
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -56,6 +56,10 @@
 	return Mutex{rank: r}
 }
 
+// Uncheck ends the checks of a test binary whose code under test has one
+// goroutine, where the order can't matter and the checks take most of the time.
+func Uncheck() { checked = false }
+
 // Lock locks m. In a test binary it panics when the calling goroutine holds a
 // mutex of the same or a higher rank.
 func (m *Mutex) Lock() {
--- a/replay/bound.go
+++ b/replay/bound.go
@@ -31,7 +31,9 @@
 // least as many as any decider can serve. Windows of one length don't overlap,
 // so their sum is a bound. A second bound is made alike of the answers: a token
 // costs at least a full step's time divided by the slots, and an answer must be
-// whole within its limit. The least over both and all lengths is returned.
+// whole within its limit. And a class can't have more good answers than its
+// contract lets in: its burst, and its rate over the trace. The least over the
+// bounds and all lengths is returned.
 func Bound(t *trace.Trace) int {
 	classes := map[string]contract.Class{}
 	longest, longestWhole := time.Duration(0), time.Duration(0)
@@ -43,6 +45,7 @@
 		}
 	}
 	var prompts, answers []item
+	allowed := map[string]int{}
 	for i := range t.Events {
 		e := &t.Events[i]
 		class, ok := classes[e.Customer+"/"+e.Class]
@@ -53,6 +56,10 @@
 		if class.FirstToken > 0 && prompt > class.FirstToken.Std() || alone > class.Whole.Std() {
 			continue // not even an engine of its own would do
 		}
+		key := e.Customer + "/" + e.Class
+		if allowed[key]++; allowed[key] > letIn(t, class) {
+			continue
+		}
 		prompts = append(prompts, item{at: e.Time(), work: prompt})
 		answers = append(answers, item{at: e.Time(), work: time.Duration(e.Answer) * leastToken(t)})
 	}
@@ -73,6 +80,11 @@
 	return prompt, prompt + time.Duration(e.Answer)*shape.StepTime
 }
 
+// letIn returns how many requests a class's contract lets in over the trace.
+func letIn(t *trace.Trace, class contract.Class) int {
+	return class.Burst + int(class.Rate*float64(t.Header.Length)/1000)
+}
+
 // leastToken returns the least engine time for one token of an answer.
 func leastToken(t *trace.Trace) time.Duration {
 	shape := t.Header.Shape
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -54,6 +54,8 @@
 		entries []*dispatch.Dispatcher
 		policy  roles.Policy
 		demand  roles.Demand
+		ended   int // answers since the last role decision
+		late    int // those of them that missed their limits
 		accepts map[string]contract.Accepted
 		report  *Report
 	}
@@ -195,7 +197,10 @@
 		Cost:   time.Duration(r.trace.Header.Change) * time.Millisecond,
 		Floor:  1,
 	}
-	r.demand = roles.Demand{}
+	if r.ended > 0 {
+		state.Late = float64(r.late) / float64(r.ended)
+	}
+	r.demand, r.ended, r.late = roles.Demand{}, 0, 0
 	for _, e := range r.engines {
 		if !e.down {
 			state.Engines = append(state.Engines, roles.Engine{
--- a/replay/report.go
+++ b/replay/report.go
@@ -155,11 +155,13 @@
 		r.Refused[kind]++
 		return
 	}
+	q.replay.ended++
 	g := r.group(q.event)
 	g.first = append(g.first, q.first)
 	g.between = append(g.between, q.gaps...)
 	if !q.good() {
 		r.Late++
+		q.replay.late++
 		return
 	}
 	r.Good++
--- a/replay/request.go
+++ b/replay/request.go
@@ -70,7 +70,7 @@
 		Limit:    q.class.FirstToken.Std(),
 	}
 	r.observe(e)
-	ticket, err := q.entry.Admit(r.now, accepted, e.Class, q.ask)
+	ticket, err := q.entry.Admit(r.now, accepted, e.Class, e.Tokens(), q.ask)
 	if err != nil {
 		r.report.refused(e, kindOf(err))
 		return
@@ -196,6 +196,6 @@
 	if q.engine != nil {
 		q.entry.Fleet.Done(q.replay.now, &q.ticket, false)
 	}
-	q.entry.Limits.Release(q.admitted)
+	q.entry.Limits.Release(q.admitted, q.given)
 	q.replay.report.ended(q, kind)
 }
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -41,6 +41,7 @@
 	State struct {
 		Engines []Engine
 		Demand  Demand
+		Late    float64       // part of the answers since the last decision that missed their limits
 		Calm    float64       // weight of few role changes against goodput, 0 to 1
 		Cost    time.Duration // an engine is away for a change
 		Floor   int           // engines that must take chats in each failure domain that has some
--- a/roles/steady.go
+++ b/roles/steady.go
@@ -17,6 +17,9 @@
 	leastHold    = 4 * time.Second  // that a need must have lasted
 	calmHold     = 20 * time.Second // added to that at full calm
 	mostChanging = 1                // changes at once in a failure domain
+	lateWeight   = 0.1              // of the newest second in the average of late answers
+	leastLate    = 0.03             // of the answers, from which a change of roles may pay
+	calmLate     = 0.05             // added to that at full calm
 )
 
 var _ Policy = (*Steady)(nil)
@@ -28,6 +31,7 @@
 	last    time.Time
 	quick   Demand
 	slow    Demand
+	late    float64   // part of the answers that miss their limits, averaged
 	since   time.Time // when the wanted number began to differ
 	wanted  int
 	changed map[string]time.Time // engine -> its last change
@@ -42,6 +46,7 @@
 // Decide implements Policy.
 func (p *Steady) Decide(now time.Time, s State) []Change {
 	p.observe(s.Demand)
+	p.late += lateWeight * (s.Late - p.late)
 	have, free := p.count(s)
 	want := p.want(s)
 	if want == have {
@@ -97,12 +102,16 @@
 	return max(0, min(want, spare, all-1))
 }
 
-// worth compares what a change gains while the mix lasts, which is taken to be
-// as long as it took to be sure of it, with the time that an engine is away.
+// worth reports whether a change is worth the time that an engine is away.
+// Routing alone keeps long prompts and the rest apart; only when answers miss
+// their limits all the same is there something to gain.
 func (p *Steady) worth(s State, difference int) bool {
-	gain := math.Abs(p.quick.Heavy-p.slow.Heavy) + float64(abs(difference))*target
+	if p.late < leastLate+s.Calm*calmLate {
+		return false
+	}
 	lasts := leastRest.Seconds()
-	return gain*lasts > s.Cost.Seconds()*(1+4*s.Calm)
+	gain := p.late * float64(len(s.Engines)) * lasts
+	return gain > s.Cost.Seconds()*float64(abs(difference))
 }
 
 // pick takes an engine that hasn't changed for long, in the failure domain
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -38,6 +38,8 @@
 		Answer   int    // tokens expected
 		Priority int
 		Limit    time.Duration // on the first token; 0 for none
+		At       time.Time
+		Entries  int // that the fleet's work is spread over; 0 where it isn't known
 	}
 
 	// Candidate is a backend server that may take the request.
