--- a/replay/report.go
+++ b/replay/report.go
@@ -39,10 +39,9 @@
 		Course    []Course          `json:"course"`
 		Decisions []RoleChange      `json:"roleDecisions"`
 
-		prefill int
-		lastOf  map[string]RoleChange
-		routes  io.Writer
-		length  time.Duration
+		lastOf map[string]RoleChange
+		routes io.Writer
+		length time.Duration
 	}
 
 	// Group is the requests of one customer and class.
