Decide over a reused list of candidates

Cause: a whole decision took 37.8 us at 10,000 backend servers (subset 100), with 79 KB in 22 allocations; the target is 10 us. Change: the table keeps its servers in order; lists of candidates are reused. Before: 37.8 us, 79,045 B, 22 allocations. After: 15.9 us, 161 B, 6. Conclusion: kept; the target isn't reached, since admission and routing each list the candidates.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"sync"
 	"time"
 
 	"endivedeck.example/admission"
@@ -14,6 +15,9 @@
 	"endivedeck.example/routing"
 )
 
+// buffers holds lists of candidates, which are of no use after a decision.
+var buffers = sync.Pool{New: func() any { return new([]routing.Candidate) }}
+
 type (
 	// Dispatcher decides for one entry. Create it with New.
 	Dispatcher struct {
@@ -40,7 +44,10 @@
 // Admit admits a request of a class, with a prompt of so many tokens, or
 // refuses it; nothing has run then.
 func (d *Dispatcher) Admit(now time.Time, accepted contract.Accepted, class string, prompt int, ask fleet.Ask) (admission.Ticket, error) {
-	candidates := d.Fleet.Candidates(now, ask)
+	buffer := buffers.Get().(*[]routing.Candidate)
+	defer buffers.Put(buffer)
+	candidates := d.Fleet.Candidates(now, ask, (*buffer)[:0])
+	*buffer = candidates
 	pressure, hit := pressureOf(candidates)
 	request := admission.Request{
 		Accepted: accepted,
@@ -55,7 +62,10 @@
 // request that would get its first token too late is refused at once, since
 // waiting in vain would take the time from others.
 func (d *Dispatcher) Choose(now time.Time, r routing.Request, ask fleet.Ask) (Decision, error) {
-	candidates := d.Fleet.Candidates(now, ask)
+	buffer := buffers.Get().(*[]routing.Candidate)
+	defer buffers.Put(buffer)
+	candidates := d.Fleet.Candidates(now, ask, (*buffer)[:0])
+	*buffer = candidates
 	r.At = now
 	r.Entries = d.Limits.Split().Entries
 	d.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"endivedeck.example/message"
@@ -48,6 +50,7 @@
 	Table struct {
 		mu      rank.Mutex
 		servers map[string]*Server
+		ordered []*Server // the same, by name
 	}
 
 	// Ask says which backend servers a request may go to.
@@ -102,9 +105,18 @@
 			gone = append(gone, name)
 		}
 	}
+	t.order()
 	return added, gone
 }
 
+func (t *Table) order() {
+	t.ordered = t.ordered[:0]
+	for _, s := range t.servers {
+		t.ordered = append(t.ordered, s)
+	}
+	slices.SortFunc(t.ordered, func(a, b *Server) int { return cmp.Compare(a.Backend.Name, b.Backend.Name) })
+}
+
 // Grant takes in a sidecar's grant.
 func (t *Table) Grant(now time.Time, name string, g message.Grant) {
 	t.mu.Lock()
@@ -145,13 +157,14 @@
 	}
 }
 
-// Candidates returns the backend servers that take new work of this kind.
-func (t *Table) Candidates(now time.Time, ask Ask) []routing.Candidate {
+// Candidates appends the backend servers that take new work of this kind to
+// candidates, by name.
+func (t *Table) Candidates(now time.Time, ask Ask, candidates []routing.Candidate) []routing.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var candidates []routing.Candidate
-	for name, s := range t.servers {
-		if ask.Not[name] || !now.Before(s.GrantUntil) || now.Before(s.RestUntil) || !s.serves(ask) {
+	for _, s := range t.ordered {
+		name := s.Backend.Name
+		if len(ask.Not) > 0 && ask.Not[name] || !now.Before(s.GrantUntil) || now.Before(s.RestUntil) || !s.serves(ask) {
 			continue
 		}
 		c := routing.Candidate{
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -20,7 +20,7 @@
 	ask := Ask{Model: "m", Prefix: func(int) []uint64 { return []uint64{1, 2, 3} }}
 	show := func(what string) {
 		fmt.Fprintf(&seen, "%5.1fs %s:", now.Sub(start).Seconds(), what)
-		for _, c := range table.Candidates(now, ask) {
+		for _, c := range table.Candidates(now, ask, nil) {
 			fmt.Fprintf(&seen, " [%s running %d own %d since %d hit %d failures %d]", c.Name, c.Running, c.Own, c.Since, c.Hit, c.Failures)
 		}
 		seen.WriteString("\n")
