--- a/cmd/endivedeck/bench_test.go
+++ b/cmd/endivedeck/bench_test.go
@@ -86,14 +86,16 @@
 }
 
 // load starts a process with holders and waits until all hold a lease.
-func (s *site) load(kind string, count int) {
+func (s *site) load(kind string, count int) { s.loadAt(kind, count, s.controls()) }
+
+func (s *site) loadAt(kind string, count int, controls []string) {
 	s.t.Helper()
 	files, err := s.authority.Issue("load")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.metrics["load"] = address("tcp")
-	s.start("load", "load", "-holders", strconv.Itoa(count), "-kind", kind, "-control", strings.Join(s.controls(), ","),
+	s.start("load", "load", "-holders", strconv.Itoa(count), "-kind", kind, "-control", strings.Join(controls, ","),
 		"-authority", files.Authority, "-certificate", files.Certificate, "-key", files.Key, "-metrics", s.metrics["load"])
 	s.await("holders", func() bool {
 		status := s.operate(http.MethodGet, "/v1/status", nil).Status
@@ -119,6 +121,74 @@
 	return took
 }
 
+// BenchmarkHolderBytes measures the bytes a second between one holder and the
+// leader, both ways, above UDP.
+func BenchmarkHolderBytes(b *testing.B) {
+	for _, count := range []int{1, 10, 30} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s := controlsOnly(b)
+			leader := s.leader()
+			s.relayed = true
+			var addresses []string
+			for _, f := range s.founders {
+				if f.Instance == leader {
+					addresses = append(addresses, s.relayUDP(f.Address))
+				}
+			}
+			s.loadAt("entry", count, addresses)
+			before, begun := s.udp[0].passed(), time.Now()
+			interval.Wait(s.ctx, measureTime)
+			seconds := time.Since(begun).Seconds()
+			b.ReportMetric(float64(s.udp[0].passed()-before)/seconds/float64(count), "B/s/holder")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkLoad measures what an entry and a sidecar use by the number of
+// callers that ask without a pause: chats of up to 31 tokens, or orders.
+func BenchmarkLoad(b *testing.B) {
+	for _, kind := range []string{"chats", "orders"} {
+		for _, count := range []int{4, 16, 64} {
+			b.Run(fmt.Sprintf("%s/%d", kind, count), func(b *testing.B) { measureLoad(b, kind, count) })
+		}
+	}
+}
+
+func measureLoad(b *testing.B, kind string, count int) {
+	s := &site{t: b, step: "1ms", metrics: map[string]string{}}
+	s.open(2, 1)
+	s.operate(http.MethodPut, "/v1/contracts/crews?replaces=0", crews())
+	s.awaitServing(true)
+	chats, orders, beside := count, 0, modelName+"-1"
+	if kind == "orders" {
+		chats, orders, beside = 0, count, serviceName+"-1"
+	}
+	traffic := s.traffic(chats, orders)
+	interval.Wait(s.ctx, time.Second)
+	names := []string{"entry-1", beside, s.leader()}
+	var before []usage
+	for _, name := range names {
+		before = append(before, s.usage(s.metrics[name]))
+	}
+	begun := time.Now()
+	interval.Wait(s.ctx, measureTime/2)
+	seconds := time.Since(begun).Seconds()
+	for i, name := range names {
+		after := s.usage(s.metrics[name])
+		b.ReportMetric(100*(after.cpu-before[i].cpu)/seconds, []string{"entry", "sidecar", "leader"}[i]+"-cpu-%")
+		b.ReportMetric(after.memory/(1<<20), []string{"entry", "sidecar", "leader"}[i]+"-MB")
+	}
+	traffic.end()
+	whole, wrong, cut, refused, done, unknown := traffic.score()
+	if wrong+cut+unknown > 0 {
+		b.Errorf("got %d wrong, %d cut, %d unknown, want none\n%s", wrong, cut, unknown, traffic.faults())
+	}
+	b.ReportMetric(float64(whole+done)/(seconds+1), "answers/s")
+	b.ReportMetric(float64(refused), "refused")
+	b.ReportMetric(0, "ns/op")
+}
+
 // BenchmarkPath measures a chat of 8 tokens and an order, directly at the
 // stand-in and through entry and sidecar, in pairs in one run.
 func BenchmarkPath(b *testing.B) {
--- a/cmd/endivedeck/relay_test.go
+++ b/cmd/endivedeck/relay_test.go
@@ -17,6 +17,7 @@
 		mu       sync.Mutex
 		flows    map[string]*udpFlow
 		count    int
+		bytes    int // that have passed, both ways
 	}
 
 	udpFlow struct {
@@ -86,6 +87,9 @@
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		r.bytes += n
+		r.mu.Unlock()
 		if flow := r.flow(client); flow != nil {
 			_, _ = flow.conn.Write(buf[:n])
 		}
@@ -121,6 +125,7 @@
 		}
 		f.relay.mu.Lock()
 		forgotten := f.forgotten
+		f.relay.bytes += n
 		f.relay.mu.Unlock()
 		if !forgotten {
 			_, _ = f.relay.listener.WriteTo(buf[:n], f.client)
@@ -128,6 +133,13 @@
 	}
 }
 
+// passed returns how many bytes have passed.
+func (r *udpRelay) passed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bytes
+}
+
 // forget loses track of all flows that there are, and returns their number.
 func (r *udpRelay) forget() int {
 	r.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,34 @@
 		}
 	}
 }
+
+// BenchmarkPrefixes measures the memory of what is believed to be cached, by
+// the number of backend servers, with 4,096 pieces each.
+func BenchmarkPrefixes(b *testing.B) {
+	for _, count := range []int{10, 30, 100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			table := New()
+			now := time.Unix(1_800_000_000, 0)
+			var backends []message.Backend
+			for i := range count {
+				backends = append(backends, message.Backend{Name: fmt.Sprint("b", i), Address: "a"})
+			}
+			table.Announce(now, backends)
+			for i := range count {
+				grant := message.Grant{For: time.Hour, PieceTokens: 64}
+				for piece := range uint64(4096) {
+					grant.Cached = append(grant.Cached, piece*0x9E3779B97F4A7C15)
+				}
+				table.Grant(now, fmt.Sprint("b", i), grant)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(count)/4096, "B/piece")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(table)
+		})
+	}
+}
--- /dev/null
+++ b/roles/bench_test.go
@@ -0,0 +1,32 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"endivedeck.example/change"
+)
+
+// BenchmarkDecide measures one role decision by the number of engines.
+func BenchmarkDecide(b *testing.B) {
+	for _, count := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			maker, err := Policies.Find("steady")
+			if err != nil {
+				b.Fatal(err)
+			}
+			p := maker()
+			s := State{Late: 0.2, Cost: 4 * time.Second, Floor: 1}
+			for i := range count {
+				s.Engines = append(s.Engines, Engine{Name: fmt.Sprint("engine-", i), Domain: fmt.Sprint(i % 9), Role: change.Both})
+			}
+			s.Demand = Demand{Heavy: float64(count) * 0.3, Light: float64(count) * 0.3}
+			now := time.Unix(1_800_000_000, 0)
+			for b.Loop() {
+				now = now.Add(time.Second)
+				p.Decide(now, s)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,52 @@
+package trace
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/golden"
+)
+
+// TestErrors reads traces with a mistake each, and writes down the errors.
+func TestErrors(t *testing.T) {
+	var good bytes.Buffer
+	made, err := Make("calm", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	made.Events = nil
+	if err := Write(&good, made); err != nil {
+		t.Fatal(err)
+	}
+	header := good.String()
+	inputs := []string{
+		"",
+		"{",
+		strings.Replace(header, `"version":1`, `"version":9`, 1),
+		strings.Replace(header, `"engines":9`, `"engines":0`, 1),
+		strings.Replace(header, `"customer":"crews"`, `"customer":"no name"`, 1),
+		header + `{"at":1,"kind":"dance"}`,
+		header + `{"at":1,"kind":"query","id":"a"}`,
+		header + `{"at":5,"kind":"order","id":"a"}` + "\n" + `{"at":4,"kind":"order","id":"b"}`,
+		header + `{"at":1,"kind":"crash","engine":9}`,
+	}
+	var seen strings.Builder
+	for _, input := range inputs {
+		_, err := Read(strings.NewReader(input))
+		seen.WriteString(fault.From(err).Error() + "\n")
+	}
+	golden.Check(t, "errors.golden", seen.String())
+}
+
+// FuzzRead reads damaged traces: an error or a trace, never a panic.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"version":1}` + "\n" + `{"at":1,"kind":"order","id":"a"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := Read(bytes.NewReader(text))
+		if err != nil && fault.Of(err) != fault.Malformed {
+			t.Errorf("got kind %s, want %s", fault.Of(err), fault.Malformed)
+		}
+	})
+}
