Learn the engines' time for a token instead of assuming it

Ruled out: a setting; engines differ and change. Change: the gap between tokens is observed at each backend server, divided by its slots; lending ends at 0.45 of the fleet's time, since it is now counted smaller.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,13 +20,12 @@
 const (
 	shedFrom  = 0.8   // of the slots in use, from where the lowest priority is refused
 	shedStep  = 0.025 // more for each level of priority
-	lendUntil = 0.5   // of the engines' time asked for, from where nobody gets more than their share
+	lendUntil = 0.45  // of the engines' time asked for, from where nobody gets more than their share
 
-	workTime     = 5 * time.Second        // over which work is averaged
-	tokenTime    = 600 * time.Microsecond // of an engine for one answer token among many
-	defaultRate  = 10_000.0               // prompt tokens a second, where it isn't known
-	firstAnswer  = 128.0                  // tokens that an answer is taken to have at first
-	answerWeight = 0.05                   // of the newest answer in the average
+	workTime     = 5 * time.Second // over which work is averaged
+	defaultRate  = 10_000.0        // prompt tokens a second, where it isn't known
+	firstAnswer  = 128.0           // tokens that an answer is taken to have at first
+	answerWeight = 0.05            // of the newest answer in the average
 )
 
 type (
@@ -49,8 +48,9 @@
 		Used  int // requests running or queued
 		Slots int // requests that can run at once; 0 where it isn't known
 
-		Engines int     // that may take the request
-		Rate    float64 // prompt tokens a second of one engine; 0 where it isn't known
+		Engines int           // that may take the request
+		Rate    float64       // prompt tokens a second of one engine; 0 where it isn't known
+		Token   time.Duration // engine time for one answer token among many
 	}
 
 	// Ticket is an admitted request; give it back with Release.
@@ -193,7 +193,7 @@
 	if rate <= 0 {
 		rate = defaultRate
 	}
-	return float64(r.Prompt)/rate + u.answer*tokenTime.Seconds()
+	return float64(r.Prompt)/rate + u.answer*p.Token.Seconds()
 }
 
 func (w *work) now(now time.Time) float64 {
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -54,7 +54,7 @@
 					b.Fatal(err)
 				}
 				d.Fleet.First(now, &decision.Ticket)
-				d.Fleet.Done(now, &decision.Ticket, false)
+				d.Fleet.Done(now, &decision.Ticket, 100, false)
 				d.Limits.Release(admitted, 100)
 			}
 		})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,12 +92,14 @@
 		p.Used += c.Load()
 		p.Slots += c.Slots
 		hit = max(hit, c.Hit)
+		p.Token += c.TokenTime()
 		if c.Rate > 0 {
 			p.Rate += c.Rate
 			known++
 		}
 	}
 	p.Engines = len(candidates)
+	p.Token /= time.Duration(max(1, p.Engines))
 	if known > 0 {
 		p.Rate /= float64(known)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -239,7 +239,7 @@
 		d.entry.host.Metrics.GetOrCreateCounter("answers_crossed_total").Inc()
 		err = fault.New(fault.Broken, fault.Unknown, "the sidecar gave the answer to another call")
 	}
-	d.entry.fleet.Done(time.Now(), ticket, blames(err))
+	d.entry.fleet.Done(time.Now(), ticket, 0, blames(err))
 	return answer.Answer, err
 }
 
--- a/entry/query.go
+++ b/entry/query.go
@@ -187,7 +187,7 @@
 		r.desk.entry.host.Metrics.GetOrCreateCounter("streams_resumed_total").Inc()
 		err = again
 	}
-	r.desk.entry.fleet.Done(time.Now(), ticket, blames(err))
+	r.desk.entry.fleet.Done(time.Now(), ticket, r.usage.Answer, blames(err))
 	return err
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,8 @@
 	restTime     = time.Second // a backend server that failed rests for so long, doubled by each failure
 	mostRests    = 5
 	rateWeight   = 0.2
+	gapTokens    = 8    // an answer's least tokens to learn the gap between two from
+	gapPart      = 10   // the newest answer is one part of so many in the average
 	rateTokens   = 1024 // a prompt's least tokens to learn the rate from; a step's own time hides that of shorter ones
 )
 
@@ -42,6 +44,7 @@
 		Failures    int
 		RestUntil   time.Time
 		Rate        float64
+		Gap         time.Duration // between two tokens of an answer, as observed
 
 		prefixes map[uint64]time.Time // piece -> when it was last believed to be cached; zero when known to be gone
 	}
@@ -71,6 +74,7 @@
 		prefix      []uint64
 		sent        time.Time
 		waiting     bool
+		first       time.Time // when the first token came
 	}
 )
 
@@ -180,6 +184,7 @@
 			Age:      now.Sub(s.LoadAt),
 			Failures: s.Failures,
 			Rate:     s.Rate,
+			Token:    s.tokenTime(),
 		}
 		if ask.Prefix != nil {
 			c.Hit = s.hit(now, ask.Prefix(s.PieceTokens))
@@ -220,6 +225,7 @@
 		return
 	}
 	ticket.waiting = false
+	ticket.first = now
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[ticket.Name]
@@ -240,9 +246,10 @@
 	}
 }
 
-// Done notes that a request has left a backend server. A failure lets the
-// backend server rest for a while, longer each time in a row.
-func (t *Table) Done(now time.Time, ticket *Ticket, failed bool) {
+// Done notes that a request has left a backend server, which gave it so many
+// tokens. A failure lets the backend server rest for a while, longer each time
+// in a row.
+func (t *Table) Done(now time.Time, ticket *Ticket, tokens int, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[ticket.Name]
@@ -255,12 +262,34 @@
 	}
 	if !failed {
 		s.Failures = 0
+		s.observeGap(now, ticket, tokens)
 		return
 	}
 	s.Failures++
 	s.RestUntil = now.Add(restTime << min(s.Failures-1, mostRests))
 }
 
+func (s *Server) observeGap(now time.Time, ticket *Ticket, tokens int) {
+	if tokens < gapTokens || ticket.first.IsZero() {
+		return
+	}
+	gap := now.Sub(ticket.first) / time.Duration(tokens-1)
+	if s.Gap == 0 {
+		s.Gap = gap
+	}
+	s.Gap += (gap - s.Gap) / gapPart
+}
+
+// tokenTime returns the engine time that one token of an answer takes when
+// all slots are in use, or 0 where it isn't known: a step serves them all and
+// takes hardly longer than with a few.
+func (s *Server) tokenTime() time.Duration {
+	if s.Load.Capacity == 0 {
+		return 0
+	}
+	return s.Gap / time.Duration(s.Load.Capacity)
+}
+
 // Models returns the models that some backend server holds.
 func (t *Table) Models() map[string]bool {
 	t.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,7 +36,7 @@
 	for range 40 {
 		ticket := table.Send(now, "a", ask, 10)
 		table.First(now.Add(time.Millisecond), &ticket)
-		table.Done(now.Add(time.Millisecond), &ticket, false)
+		table.Done(now.Add(time.Millisecond), &ticket, 1, false)
 	}
 	show("after 40 requests one after another")
 	first := table.Send(now, "a", ask, 10)
@@ -45,7 +45,7 @@
 	grant.Load.Running = 2
 	table.Grant(now, "a", grant)
 	show("both in the report")
-	table.Done(now, &first, false)
+	table.Done(now, &first, 1, false)
 	show("one of them done")
 	after(1500 * time.Millisecond)
 	table.Announce(now, nil)
@@ -54,7 +54,7 @@
 	show("the grant has run out")
 	table.Grant(now, "a", grant)
 	failed := table.Send(now, "a", ask, 10)
-	table.Done(now, &failed, true)
+	table.Done(now, &failed, 0, true)
 	show("rests after a failure")
 	after(1100 * time.Millisecond)
 	show("tried again")
--- a/replay/request.go
+++ b/replay/request.go
@@ -138,7 +138,7 @@
 		}
 	}
 	if !q.engine.takesWork() {
-		q.entry.Fleet.Done(q.replay.now, &q.ticket, true)
+		q.entry.Fleet.Done(q.replay.now, &q.ticket, 0, true)
 		q.engine = nil
 		q.try()
 		return
@@ -172,7 +172,7 @@
 
 // lost is a crash of the engine under the query.
 func (q *request) lost() {
-	q.entry.Fleet.Done(q.replay.now, &q.ticket, true)
+	q.entry.Fleet.Done(q.replay.now, &q.ticket, 0, true)
 	q.engine = nil
 	q.replay.after(hopTime, q.try)
 }
@@ -194,7 +194,7 @@
 func (q *request) end(kind string) {
 	q.over = true
 	if q.engine != nil {
-		q.entry.Fleet.Done(q.replay.now, &q.ticket, false)
+		q.entry.Fleet.Done(q.replay.now, &q.ticket, q.given, false)
 	}
 	q.entry.Limits.Release(q.admitted, q.given)
 	q.replay.report.ended(q, kind)
--- a/routing/parted.go
+++ b/routing/parted.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	tokenTime  = 600 * time.Microsecond // of an engine for one answer token among many
 	heavyPart  = 0.24                   // of an engine's time that is planned with for long prompts
 	lightPart  = 0.70                   // and for the rest
 	mixTime    = 8 * time.Second        // over which the mix is averaged
@@ -123,7 +122,7 @@
 	} else {
 		p.light += work
 	}
-	p.light += float64(r.Answer) * tokenTime.Seconds() / mixTime.Seconds()
+	p.light += float64(r.Answer) * c.TokenTime().Seconds() / mixTime.Seconds()
 	return heavy
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -13,6 +13,10 @@
 	"endivedeck.example/kernel"
 )
 
+// defaultToken is the engine time for one answer token where nothing was
+// observed yet.
+const defaultToken = 600 * time.Microsecond
+
 // Policies is the slot of routing policies.
 var Policies = kernel.NewSlot[Maker]("routing policy")
 
@@ -56,6 +60,7 @@
 		Hit      int           // prompt tokens believed to be in its prefix cache
 		Age      time.Duration // of the report
 		Failures int           // in a row, most recently
+		Token    time.Duration // engine time for one answer token among many, as observed; 0 where it isn't known
 		Rate     float64       // prompt tokens a second, as observed; 0 where it isn't known
 	}
 
@@ -71,5 +76,13 @@
 // the report, which is late, corrected by this entry's own requests since.
 func (c *Candidate) Load() int { return max(c.Own, c.Running+c.Queued+c.Since) }
 
+// TokenTime returns the engine time that one token of an answer takes.
+func (c *Candidate) TokenTime() time.Duration {
+	if c.Token == 0 {
+		return defaultToken
+	}
+	return c.Token
+}
+
 // None is the choice of no candidate.
 func None(reason string) Choice { return Choice{Index: -1, Reason: reason} }
