--- a/command/serve.go
+++ b/command/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -50,6 +51,9 @@
 }
 
 func (c *serve) run(ctx context.Context, process kernel.Process) subcommands.ExitStatus {
+	if process.Cores > 0 {
+		runtime.GOMAXPROCS(process.Cores)
+	}
 	k, err := kernel.New(process, logOutput)
 	if err != nil {
 		return failed(err)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -72,6 +72,7 @@
 		Metrics       string                      `json:"metrics"`
 		Workers       int                         `json:"workers" range:"1..65536"`
 		Backlog       int                         `json:"backlog" range:"0..1048576"`
+		Cores         int                         `json:"cores" range:"0..1024"` // that the process may use at once; 0 for all
 		StopTime      settings.Duration           `json:"stopTime" range:"100ms..1h"`
 		LogLevel      string                      `json:"logLevel"`
 		Sections      map[string]settings.Section `json:"*"`
--- a/member/member.go
+++ b/member/member.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	pollTime    = time.Second
+	pollTime    = 1500 * time.Millisecond
 	answerTime  = 1200 * time.Millisecond
 	leastPause  = 50 * time.Millisecond
 	mostPause   = 400 * time.Millisecond
