Settle orders that were cut halfway where the service recognises their key

Cause: an order whose sidecar died between its running and its recording stayed unknown for as long as its record was kept. Times are encoded whole now. Change: a backend server's setting says that its service answers a repeated key from memory; asking again then hands the order over again.

--- a/cmd/endivedeck/process_test.go
+++ b/cmd/endivedeck/process_test.go
@@ -53,6 +53,8 @@
 		ctx       context.Context
 		step      string            // of the engines
 		metrics   map[string]string // metrics addresses by process; nil for none
+		ledger    []string          // further flags of the ledgers
+		dedupe    bool              // the ledgers recognise a repeated key
 		relayed   bool              // connections to sidecars and engines go through relays
 		udp       []*udpRelay
 		tcp       []*tcpRelay
@@ -167,11 +169,15 @@
 func (s *site) startLedger(i int) {
 	name := fmt.Sprintf("%s-%d", serviceName, i+1)
 	ledger := address("tcp")
-	s.start(name+"-ledger", "standin", "-listen", ledger, "ledger")
+	args := append([]string{"standin", "-listen", ledger}, s.ledger...)
+	if s.dedupe {
+		args = append(args, "-dedupe")
+	}
+	s.start(name+"-ledger", append(args, "ledger")...)
 	s.startRole("sidecar", name, i, map[string]any{
 		"listen":  address("udp"),
 		"control": s.controls(),
-		"service": map[string]any{"name": serviceName, "address": ledger, "health": "/healthz"},
+		"service": map[string]any{"name": serviceName, "address": ledger, "health": "/healthz", "dedupe": s.dedupe},
 	})
 }
 
--- a/control/holders.go
+++ b/control/holders.go
@@ -377,6 +377,6 @@
 }
 
 func sameBackend(a, b message.Backend) bool {
-	same := a.Incarnation == b.Incarnation && a.Address == b.Address && a.Leaving == b.Leaving
+	same := a.Incarnation == b.Incarnation && a.Address == b.Address && a.Leaving == b.Leaving && a.Dedupe == b.Dedupe
 	return same && a.Role == b.Role && a.Service == b.Service && slices.Equal(a.Models, b.Models)
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -25,6 +25,12 @@
 	maxKeyBytes = 255
 )
 
+// handing says what a call of a service is to the record of orders.
+type handing struct {
+	intent uint64 // of an order; 0 for what may be repeated
+	again  bool   // an earlier attempt may have run
+}
+
 // Call asks a plain service for something.
 type Call struct {
 	ID          string
@@ -89,7 +95,7 @@
 			return order.Answer{}, last
 		}
 		tried[ticket.Name] = true
-		answer, err := d.hand(ctx, &ticket, c, accepted, 0)
+		answer, err := d.hand(ctx, &ticket, c, accepted, handing{})
 		if err == nil {
 			return answer, nil
 		}
@@ -173,11 +179,11 @@
 	defer cancel()
 	for begun.Record.State != order.Done {
 		if !interval.Wait(waiting, openPause) {
-			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
+			return d.again(ctx, c, accepted, begun.Record)
 		}
 		next, err := d.begin(waiting, c, accepted)
 		if err != nil {
-			return order.Answer{}, fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
+			return d.again(ctx, c, accepted, begun.Record)
 		}
 		begun = next
 		if begun.Go {
@@ -188,6 +194,27 @@
 	return begun.Record.Answer, nil
 }
 
+// again settles an order whose earlier attempt may have run, where the service
+// itself answers a repeated key from memory. Elsewhere nobody can know.
+func (d *Desk) again(ctx context.Context, c Call, accepted contract.Accepted, record order.Record) (order.Answer, error) {
+	pending := fault.New(fault.Pending, fault.Unknown, "the order was begun earlier and may have run; ask again with the same key")
+	request := routing.Request{
+		ID:       c.ID,
+		Customer: accepted.Contract.Customer,
+		Class:    c.Class,
+		Domain:   d.entry.host.Process.FailureDomain,
+	}
+	ticket, err := d.choose(request, fleet.Ask{Service: c.Service, Dedupe: true})
+	if err != nil {
+		return order.Answer{}, pending
+	}
+	answer, err := d.hand(ctx, &ticket, c, accepted, handing{intent: record.Intent, again: true})
+	if err != nil {
+		return order.Answer{}, pending
+	}
+	return answer, nil
+}
+
 // handOnce hands an order to one backend server, to another only where it is
 // proved that the one before didn't run it.
 func (d *Desk) handOnce(ctx context.Context, c Call, accepted contract.Accepted, intent uint64) (order.Answer, error) {
@@ -202,7 +229,7 @@
 			return order.Answer{}, last
 		}
 		tried[ticket.Name] = true
-		answer, err := d.hand(ctx, &ticket, c, accepted, intent)
+		answer, err := d.hand(ctx, &ticket, c, accepted, handing{intent: intent})
 		if err == nil || fault.From(err).Ran != fault.No {
 			return answer, err
 		}
@@ -219,7 +246,7 @@
 	return order.Answer{}, last
 }
 
-func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, intent uint64) (order.Answer, error) {
+func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, h handing) (order.Answer, error) {
 	left, _ := ctx.Deadline()
 	call := message.ServiceCall{
 		ID:          c.ID,
@@ -229,7 +256,8 @@
 		Path:        c.Path,
 		ContentType: c.ContentType,
 		Body:        c.Body,
-		Order:       intent,
+		Order:       h.intent,
+		Again:       h.again,
 		Key:         c.Key,
 		Left:        time.Until(left),
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,7 +60,7 @@
 	Ask struct {
 		Model   string
 		Service string
-		Prompt  string
+		Dedupe  bool            // only services that recognise a repeated key
 		Not     map[string]bool // names that were tried already
 		Prefix  func(pieceTokens int) []uint64
 	}
@@ -305,7 +305,7 @@
 
 func (s *Server) serves(ask Ask) bool {
 	if ask.Service != "" {
-		return s.Backend.Service == ask.Service
+		return s.Backend.Service == ask.Service && (s.Backend.Dedupe || !ask.Dedupe)
 	}
 	return s.Models[ask.Model]
 }
--- a/message/message.go
+++ b/message/message.go
@@ -52,6 +52,7 @@
 		Service       string   `cbor:"7,keyasint" json:"service,omitempty"`
 		Role          string   `cbor:"8,keyasint" json:"role,omitempty"`
 		Leaving       bool     `cbor:"9,keyasint" json:"leaving"`
+		Dedupe        bool     `cbor:"10,keyasint" json:"dedupe,omitempty"` // the service answers a repeated key from memory
 	}
 
 	// Renew asks for a lease and for what has changed. Wait bounds how long
@@ -224,6 +225,7 @@
 		Order       uint64        `cbor:"8,keyasint"` // the intent of an order that may not be repeated; 0 for none
 		Key         string        `cbor:"9,keyasint"` // the caller's idempotency key
 		Left        time.Duration `cbor:"10,keyasint"`
+		Again       bool          `cbor:"11,keyasint"` // an earlier attempt may have run; only for services that recognise the key
 	}
 
 	// ServiceAnswer is the plain service's answer.
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -64,7 +64,7 @@
 		return
 	}
 	defer s.done()
-	if call.Order != 0 && !s.hand(call.Order, time.Now()) {
+	if call.Order != 0 && !s.mayHand(call) {
 		x.Fail(fault.New(fault.Conflict, fault.Unknown, "the order was handed over already"))
 		return
 	}
@@ -104,6 +104,15 @@
 	}
 }
 
+// mayHand lets an order through once, and again only to a service that
+// recognises it.
+func (s *Sidecar) mayHand(call message.ServiceCall) bool {
+	if call.Again {
+		return s.settings.Service.Dedupe
+	}
+	return s.hand(call.Order, time.Now())
+}
+
 // hand notes that an order is handed over and reports whether it is the first
 // time. It guards against a call that arrives twice.
 func (s *Sidecar) hand(intent uint64, now time.Time) bool {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -63,6 +63,7 @@
 		Address string `json:"address"`
 		Health  string `json:"health"` // path that answers 200 when all is well
 		Slots   int    `json:"slots" range:"1..100000"`
+		Dedupe  bool   `json:"dedupe"` // the service, whichever instance is asked, answers a repeated Idempotency-Key from memory
 	}
 
 	// Sidecar is a running sidecar.
@@ -247,6 +248,7 @@
 		Models:        s.state.Models,
 		Role:          s.state.Role,
 		Service:       s.settings.Service.Name,
+		Dedupe:        s.settings.Service.Dedupe,
 		Leaving:       s.stopping || leaves(s.change),
 	}
 }
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"endivedeck.example/fault"
 )
@@ -25,6 +26,19 @@
 	})
 }
 
+// TestTime checks that a time comes back as it was.
+func TestTime(t *testing.T) {
+	want := time.Unix(1_800_000_000, 123_456_789).UTC()
+	text, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got time.Time
+	if err := Decode(text, &got); err != nil || !got.Equal(want) {
+		t.Errorf("got %v, %v, want %v", got, err, want)
+	}
+}
+
 // TestFrameLimit checks that a length over the limit is refused before any of
 // it is read.
 func TestFrameLimit(t *testing.T) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -40,7 +40,10 @@
 // Transports is the slot of transports.
 var Transports = kernel.NewSlot[TransportMaker]("transport")
 
-var decoding = newDecoding()
+var (
+	decoding = newDecoding()
+	encoding = newEncoding()
+)
 
 type (
 	// Transport opens connections between processes.
@@ -95,7 +98,7 @@
 
 // Encode encodes a message.
 func Encode(value any) ([]byte, error) {
-	body, err := cbor.Marshal(value)
+	body, err := encoding.Marshal(value)
 	if err != nil {
 		return nil, fault.New(fault.Internal, fault.No, "encoding a message: %v", err)
 	}
@@ -161,6 +164,15 @@
 	return body, nil
 }
 
+// newEncoding keeps times whole; the library's own way cuts them to seconds.
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 func newDecoding() cbor.DecMode {
 	options := cbor.DecOptions{
 		MaxArrayElements: 1 << 20,
