Run the role policy in control on what the sidecars count

Change: a sidecar adds up engine time of long prompts and of the rest, answers and late answers; control's leader asks the role policy once a second and announces its changes like an operator would; a log line for each.

--- a/control/bed_test.go
+++ b/control/bed_test.go
@@ -34,6 +34,7 @@
 		founders []Founder
 		controls map[string]*instance
 		holders  []*holder
+		roles    string
 	}
 
 	instance struct {
@@ -53,6 +54,9 @@
 		revision uint64
 		contract map[string]contract.Accepted
 		fleet    message.FleetVersion
+		engine   *message.Backend // announced, where there is one
+		tally    message.Tally
+		change   uint64
 	}
 )
 
@@ -60,8 +64,12 @@
 
 // inBed runs a test with control instances under the test's clock.
 func inBed(t *testing.T, replicas int, test func(b *bed)) {
+	inBedWith(t, replicas, "fixed", test)
+}
+
+func inBedWith(t *testing.T, replicas int, roles string, test func(b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bed{t: t, network: memory.New(), controls: map[string]*instance{}}
+		b := &bed{t: t, network: memory.New(), controls: map[string]*instance{}, roles: roles}
 		for i := range replicas {
 			name := fmt.Sprintf("control-%d", i+1)
 			b.founders = append(b.founders, Founder{Instance: name, Address: name})
@@ -86,7 +94,7 @@
 	process.Instance = name
 	workers := pool.New(64, 1024)
 	host := &kernel.Host{Process: process, Log: quiet(), Metrics: metrics.NewSet(), Pool: workers}
-	c, err := New(host, Settings{Listen: name, Founders: b.founders, Snapshot: 100}, b.network.Transport(name))
+	c, err := New(host, Settings{Listen: name, Founders: b.founders, Snapshot: 100, Roles: b.roles}, b.network.Transport(name))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -156,12 +164,18 @@
 	defer h.mu.Unlock()
 	ask.Revision = h.revision
 	ask.Fleet = h.fleet
+	ask.Backend = h.engine
+	ask.Tally = h.tally
+	ask.Change = h.change
 }
 
 // Renewed implements member.Holder.
 func (h *holder) Renewed(answer message.Renewed) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if answer.Change != nil {
+		h.change = answer.Change.Number
+	}
 	if answer.Fleet != nil {
 		h.fleet = answer.Fleet.Version
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -18,6 +18,7 @@
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/quorum"
+	"endivedeck.example/roles"
 	"endivedeck.example/wire"
 )
 
@@ -40,6 +41,7 @@
 		Data      string      `json:"data" need:"yes"`     // the data folder
 		Founders  []Founder   `json:"founders" need:"yes"` // all control instances of the first day, this one too
 		Transport string      `json:"transport"`
+		Roles     string      `json:"roles"` // role policy
 		Limits    gate.Limits `json:"limits"`
 		Snapshot  uint64      `json:"snapshotEntries" range:"100..10000000"`
 	}
@@ -73,6 +75,7 @@
 		holders  *holders
 		founding *founding
 		timing   quorum.Timing
+		roles    roles.Maker
 		failed   chan error
 		stop     context.CancelFunc
 	}
@@ -86,7 +89,7 @@
 
 // DefaultSettings returns the settings that hold where a file says nothing.
 func DefaultSettings() Settings {
-	return Settings{Transport: "quic", Limits: gate.DefaultLimits(), Snapshot: 20_000}
+	return Settings{Transport: "quic", Roles: "steady", Limits: gate.DefaultLimits(), Snapshot: 20_000}
 }
 
 func check(host *kernel.Host) error {
@@ -122,11 +125,16 @@
 	if len(settings.Founders) == 0 {
 		return nil, fault.New(fault.Malformed, fault.No, "control.founders: the field is needed")
 	}
+	policy, err := roles.Policies.Find(settings.Roles)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := transport.Listen(settings.Listen)
 	if err != nil {
 		return nil, err
 	}
 	c := &Control{
+		roles:    policy,
 		host:     host,
 		settings: settings,
 		log:      host.Log,
@@ -210,6 +218,8 @@
 	c.founding.began(replica)
 	w := &warden{control: c, replica: replica}
 	go w.run(ctx)
+	p := newPlanner(c)
+	go p.run(ctx)
 	return nil
 }
 
--- a/control/holders.go
+++ b/control/holders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -55,6 +56,7 @@
 	// listed is a backend server that has announced itself.
 	listed struct {
 		backend message.Backend
+		tally   message.Tally
 		until   time.Time
 	}
 
@@ -138,7 +140,7 @@
 		return
 	}
 	h.wake()
-	if ask.Backend != nil && h.list(now, *ask.Backend) {
+	if ask.Backend != nil && h.list(now, *ask.Backend, ask.Tally) {
 		h.Changed()
 	}
 	p := &parked{holders: h, x: x, ask: ask}
@@ -168,11 +170,11 @@
 }
 
 // list notes a backend server and reports whether that is news.
-func (h *holders) list(now time.Time, b message.Backend) bool {
+func (h *holders) list(now time.Time, b message.Backend, tally message.Tally) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old, known := h.fleet[b.Name]
-	h.fleet[b.Name] = listed{backend: b, until: now.Add(lease.Length)}
+	h.fleet[b.Name] = listed{backend: b, tally: tally, until: now.Add(lease.Length)}
 	if known && sameBackend(old.backend, b) {
 		return false
 	}
@@ -366,6 +368,20 @@
 	}
 }
 
+// engines returns the model engines that have announced themselves.
+func (h *holders) engines() []listed {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []listed
+	for _, l := range h.fleet {
+		if l.backend.Kind == message.KindEngine {
+			list = append(list, l)
+		}
+	}
+	slices.SortFunc(list, func(a, b listed) int { return cmp.Compare(a.backend.Name, b.backend.Name) })
+	return list
+}
+
 func (h *holders) backends() []message.Backend {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/entry/query.go
+++ b/entry/query.go
@@ -205,6 +205,11 @@
 		Priority: r.class.Priority,
 		Left:     time.Until(r.deadline),
 		Resume:   resume,
+		Todo:     ticket.Todo,
+		Between:  r.class.BetweenTokens.Std(),
+	}
+	if r.usage.Answer == 0 {
+		work.First = r.class.FirstToken.Std()
 	}
 	client := r.desk.entry.client
 	call, err := client.Open(ctx, ticket.Address, message.MethodWork, work)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,7 +70,7 @@
 		Name        string
 		Address     string
 		Incarnation string
-		todo        int
+		Todo        int // prompt tokens that aren't believed to be cached
 		prefix      []uint64
 		sent        time.Time
 		waiting     bool
@@ -206,7 +206,7 @@
 		Name:        name,
 		Address:     s.Backend.Address,
 		Incarnation: s.Incarnation,
-		todo:        todo,
+		Todo:        todo,
 		sent:        now,
 		waiting:     true,
 	}
@@ -233,14 +233,14 @@
 		return
 	}
 	took := now.Sub(ticket.sent).Seconds()
-	if took > 0 && ticket.todo >= rateTokens {
-		seen := float64(max(s.OwnTodo, ticket.todo)) / took
+	if took > 0 && ticket.Todo >= rateTokens {
+		seen := float64(max(s.OwnTodo, ticket.Todo)) / took
 		if s.Rate == 0 {
 			s.Rate = seen
 		}
 		s.Rate += rateWeight * (seen - s.Rate)
 	}
-	s.OwnTodo = max(0, s.OwnTodo-ticket.todo)
+	s.OwnTodo = max(0, s.OwnTodo-ticket.Todo)
 	for _, hash := range ticket.prefix {
 		s.remember(now, hash)
 	}
@@ -258,7 +258,7 @@
 	}
 	s.Own = max(0, s.Own-1)
 	if ticket.waiting {
-		s.OwnTodo = max(0, s.OwnTodo-ticket.todo)
+		s.OwnTodo = max(0, s.OwnTodo-ticket.Todo)
 	}
 	if !failed {
 		s.Failures = 0
--- a/message/message.go
+++ b/message/message.go
@@ -67,6 +67,15 @@
 		Change      uint64        `cbor:"7,keyasint"` // number of the newest change known to a sidecar
 		Wait        time.Duration `cbor:"8,keyasint"`
 		Holds       bool          `cbor:"9,keyasint"` // the holder serves, or will once the answer is in force
+		Tally       Tally         `cbor:"10,keyasint"`
+	}
+
+	// Tally adds up an engine's work since its sidecar's start.
+	Tally struct {
+		Heavy   float64 `cbor:"1,keyasint"` // engine time in seconds for long prompts
+		Light   float64 `cbor:"2,keyasint"` // engine time in seconds for the rest
+		Answers int     `cbor:"3,keyasint"`
+		Late    int     `cbor:"4,keyasint"` // answers that missed their contract's limits
 	}
 
 	// Renewed answers Renew.
@@ -195,6 +204,9 @@
 		Priority int           `cbor:"9,keyasint"`
 		Left     time.Duration `cbor:"10,keyasint"` // until the deadline
 		Resume   bool          `cbor:"11,keyasint"` // go on with a stream that the sidecar keeps
+		Todo     int           `cbor:"12,keyasint"` // prompt tokens that aren't believed to be cached
+		First    time.Duration `cbor:"13,keyasint"` // the contract's limit on the first token; 0 for none
+		Between  time.Duration `cbor:"14,keyasint"` // the contract's limit between tokens; 0 for none
 	}
 
 	// Cancel gives up an answer that nobody waits for.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -96,6 +96,8 @@
 		healthy  bool
 		busy     int // requests at the backend server
 		idle     chan struct{}
+		tally    message.Tally
+		rate     float64              // prompt tokens a second, as observed
 		handed   map[uint64]time.Time // orders by intent -> when they were handed over
 
 		unfenced bool // authority isn't looked at; for a twin
@@ -239,6 +241,7 @@
 	defer s.mu.Unlock()
 	ask.Revision = s.revision
 	ask.Change = s.change.Number
+	ask.Tally = s.tally
 	ask.Backend = &message.Backend{
 		Name:          s.host.Process.Instance,
 		Incarnation:   s.incarnation,
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -37,6 +37,9 @@
 		err     error
 		reader  int // of the newest reader; earlier ones end
 		wake    chan struct{}
+		begun   time.Time
+		first   time.Time // when the first token came
+		last    time.Time // when the last one came
 		left    time.Time // when the last reader went away
 		read    bool      // somebody reads
 	}
@@ -133,6 +136,7 @@
 		tokens:  work.Offset,
 		reader:  1,
 		read:    true,
+		begun:   time.Now(),
 		wake:    make(chan struct{}),
 	}
 	t.mu.Lock()
@@ -162,12 +166,17 @@
 		}
 	}
 	s.streams.mu.Lock()
-	defer s.streams.mu.Unlock()
 	if !s.end {
 		s.err = err
 		s.end = true
 	}
 	s.signal()
+	whole := s.err == nil && !s.first.IsZero()
+	took := timing{first: s.first.Sub(s.begun), gaps: s.last.Sub(s.first), tokens: s.tokens - s.work.Offset}
+	s.streams.mu.Unlock()
+	if whole {
+		sidecar.count(s.work, took)
+	}
 }
 
 func (s *stream) stopEngine() {
@@ -193,6 +202,10 @@
 	if p.Offset > s.tokens {
 		return fault.New(fault.Broken, fault.Unknown, "the engine left a gap in the answer")
 	}
+	s.last = time.Now()
+	if s.first.IsZero() {
+		s.first = s.last
+	}
 	s.pieces = append(s.pieces, p)
 	s.tokens += p.Tokens
 	if s.tokens > s.work.Most {
