--- a/control/planner.go
+++ b/control/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivedeck.example/change"
+	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/roles"
 )
@@ -31,16 +32,7 @@
 }
 
 func (p *planner) run(ctx context.Context) {
-	ticker := time.NewTicker(planTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.plan(ctx, time.Now())
-		}
-	}
+	interval.Each(ctx, planTick, func(now time.Time) { p.plan(ctx, now) })
 }
 
 func (p *planner) plan(ctx context.Context, now time.Time) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,11 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	maker, err := wire.Transports.Find(settings.Transport)
-	if err != nil {
-		return nil, err
-	}
-	transport, err := maker(host)
+	transport, err := wire.Build(host, settings.Transport)
 	if err != nil {
 		return nil, err
 	}
--- a/interval/interval.go
+++ b/interval/interval.go
@@ -1,4 +1,4 @@
-// Package interval waits.
+// Package interval waits, once or again and again.
 package interval
 
 import (
@@ -18,3 +18,17 @@
 		return false
 	}
 }
+
+// Each calls do after each interval of the given length, until ctx is done.
+func Each(ctx context.Context, length time.Duration, do func(now time.Time)) {
+	ticker := time.NewTicker(length)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do(time.Now())
+		}
+	}
+}
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/pool"
 	"endivedeck.example/rank"
@@ -52,16 +53,7 @@
 // run gives up the answers that nobody came back for.
 func (t *streams) run(ctx context.Context) {
 	defer t.sidecar.running.Done()
-	ticker := time.NewTicker(sweepPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			t.sweep(time.Now())
-		}
-	}
+	interval.Each(ctx, sweepPause, t.sweep)
 }
 
 func (t *streams) sweep(now time.Time) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -96,6 +96,15 @@
 	}
 )
 
+// Build builds the transport of the given name from the settings of a process.
+func Build(host *kernel.Host, name string) (Transport, error) {
+	maker, err := Transports.Find(name)
+	if err != nil {
+		return nil, err
+	}
+	return maker(host)
+}
+
 // Encode encodes a message.
 func Encode(value any) ([]byte, error) {
 	body, err := encoding.Marshal(value)
