--- a/quorum/core.go
+++ b/quorum/core.go
@@ -52,7 +52,6 @@
 
 		progress    map[string]*progress
 		beat        time.Time // when the next heartbeat is due
-		elected     time.Time
 		confirmed   time.Time // a majority heard this leader at this time or later
 		ownTermFrom uint64    // index of the Empty entry of this leader's term
 		self        selfProgress
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -332,7 +332,6 @@
 	c.role = leader
 	c.leader = c.id
 	c.votes = nil
-	c.elected = now
 	c.confirmed = now
 	c.progress = map[string]*progress{}
 	c.ownTermFrom = c.append(Entry{Kind: Empty})
--- a/roles/steady.go
+++ b/roles/steady.go
@@ -28,7 +28,6 @@
 // a slow average of the mix alike, and is worth the time that an engine is
 // away. The calmer the contracts want it, the longer it waits.
 type Steady struct {
-	last    time.Time
 	quick   Demand
 	slow    Demand
 	late    float64   // part of the answers that miss their limits, averaged
@@ -47,7 +46,7 @@
 func (p *Steady) Decide(now time.Time, s State) []Change {
 	p.observe(s.Demand)
 	p.late += lateWeight * (s.Late - p.late)
-	have, free := p.count(s)
+	have, _ := p.count(s)
 	want := p.want(s)
 	if want == have {
 		p.since = time.Time{}
@@ -61,11 +60,11 @@
 	if now.Sub(p.since) < hold || !p.worth(s, want-have) {
 		return nil
 	}
-	return p.pick(now, s, want, have, free)
+	return p.pick(now, s, want, have)
 }
 
 func (p *Steady) observe(d Demand) {
-	if p.last.IsZero() && p.quick == (Demand{}) {
+	if p.quick == (Demand{}) {
 		p.quick, p.slow = d, d
 	}
 	p.quick = mix(p.quick, d, fastWeight)
@@ -116,7 +115,7 @@
 
 // pick takes an engine that hasn't changed for long, in the failure domain
 // that has the most of the kind, within the limits of its domain.
-func (p *Steady) pick(now time.Time, s State, want, have, _ int) []Change {
+func (p *Steady) pick(now time.Time, s State, want, have int) []Change {
 	to := change.Prefill
 	if want < have {
 		to = change.Both
