--- a/cmd/endivedeck/failure_test.go
+++ b/cmd/endivedeck/failure_test.go
@@ -333,3 +333,22 @@
 	name, _, _ := strings.Cut(id, "#")
 	return name
 }
+
+// TestKilledEntry is the twin of the planned stop: an entry that is killed
+// where TestRollingRestart stops it cuts answers, and the crews see that.
+func TestKilledEntry(t *testing.T) {
+	s := &site{t: t, step: "50ms"}
+	s.open(2, 0)
+	s.operate(http.MethodPut, "/v1/contracts/crews?replaces=0", crews())
+	s.awaitServing(false)
+	traffic := s.traffic(8, 0)
+	interval.Wait(s.ctx, 600*time.Millisecond)
+	s.kill("entry-1")
+	s.kill("entry-2")
+	interval.Wait(s.ctx, 300*time.Millisecond)
+	traffic.end()
+	_, _, cut, _, _, _ := traffic.score()
+	if cut == 0 {
+		t.Error("got no answer cut by killed entries, want the crews to see some")
+	}
+}
