--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -1,10 +1,8 @@
 package journal
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"syscall"
@@ -199,9 +197,6 @@
 	if err != nil || len(state.Entries) != 1 || state.Ballot.Term != 3 {
 		t.Errorf("got %+v, %v, want one entry of term 3", state, err)
 	}
-	if errors.Is(err, os.ErrNotExist) {
-		t.Errorf("got %v", err)
-	}
 }
 
 // FuzzReplay reads damaged logs: an error or a state, never a panic.
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"os"
-	"slices"
 	"strings"
 	"testing"
 
@@ -159,7 +158,7 @@
 	made.Header.Engines = 1
 	made.Header.Shape.PrefillRate = 1000
 	var events []trace.Event
-	for i := range 10 {
+	for i := range 20 {
 		events = append(events, trace.Event{
 			Kind: trace.Query, ID: fmt.Sprint(i), Customer: "crews", Class: "urgent",
 			Prompt: []trace.Segment{{Name: fmt.Sprint(i), Tokens: 800}}, Answer: 10,
@@ -168,7 +167,7 @@
 	made.Events = events
 	got := Bound(made)
 	// A window of 5 s and the longest limit of 8 s hold 13 s of one engine; 0.8 s each.
-	want := 10
+	want := 16
 	if got != want {
 		t.Errorf("got %d, want %d", got, want)
 	}
@@ -178,7 +177,4 @@
 	if got := Bound(made); got != 0 {
 		t.Errorf("got %d, want 0", got)
 	}
-	if !slices.Contains(trace.Names(), "calm") {
-		t.Errorf("got %v, want calm among them", trace.Names())
-	}
 }
