Count a parked renewal's wait into its lease, so that the loss of a leader stops nobody

A member counted its lease from when it asked, and a renewal is parked for up to 2.5 s; so 3.5 s were left when it came back and as little as 1 s while the next was parked. A leader lost at that point took longer to be missed (2.5 s of silence) than the lease lasted, and a new leader parked the first renewal too, up to 2.5 s, while the lease ran out.

Ruled out: stopping sidecars (refusals came before the first one was stopped), the entries' routing, a slow machine alone (in test time the leases lapsed too).

Change: a renewal that waited in vain is prolonged at the leader when it is answered, and the answer says how long it was parked; the member counts from then, never from later than its own clock allows. A member with little of its lease left asks for an answer at once. Nobody looks for the next leader at the address that was just lost. The failing test names its refusals and their time.

--- a/cmd/endivedeck/failure_test.go
+++ b/cmd/endivedeck/failure_test.go
@@ -16,6 +16,8 @@
 	"endivedeck.example/standin"
 )
 
+const clockFormat = "15:04:05.000"
+
 type (
 	// crew asks and orders until told to stop, and counts how it went. It
 	// uses whichever entry is healthy, as the platform's balancer does.
@@ -105,7 +107,7 @@
 		c.faults = append(c.faults, "wrong: "+answer)
 	case fault.From(err).Ran == fault.No || strings.Contains(err.Error(), "connection refused"):
 		c.refused++
-		c.faults = append(c.faults, fmt.Sprintf("refused: %s: %v", kind, err))
+		c.faults = append(c.faults, fmt.Sprintf("%s refused: %s: %v", time.Now().UTC().Format(clockFormat), kind, err))
 	default:
 		c.cut++
 		c.faults = append(c.faults, fmt.Sprintf("cut: %s: %v", kind, err))
@@ -115,6 +117,7 @@
 // order sends an order again until its answer is known.
 func (c *crew) order(i int) {
 	id := fmt.Sprintf("%s-order-%d", c.name, i)
+	var answers []string
 	for try := range 40 {
 		_, err := c.site.order(c.entry(i+try), id, "cuttings "+id)
 		if err == nil {
@@ -123,12 +126,14 @@
 			return
 		}
 		c.ids[id] = string(fault.From(err).Ran)
+		answers = append(answers, time.Now().UTC().Format(clockFormat)+" "+err.Error())
 		interval.Wait(c.site.ctx, 50*time.Millisecond)
 		if fault.From(err).Ran == fault.Unknown && fault.Of(err) == fault.Pending {
 			break // it may have run; a later resend would say the same
 		}
 	}
 	c.unknown++
+	c.faults = append(c.faults, fmt.Sprintf("order %s, %s:\n\t%s", id, c.ids[id], strings.Join(answers, "\n\t")))
 }
 
 // score adds the crews' counts up.
--- a/control/holders.go
+++ b/control/holders.go
@@ -43,6 +43,7 @@
 		ended   chan struct{}
 
 		unsettled bool // a new leader doesn't wait for earlier leases; for a twin
+		uncounted bool // the time that renewals were parked doesn't count; for a twin
 	}
 
 	// parked is a renewal that waits for news.
@@ -50,7 +51,9 @@
 		holders *holders
 		x       *wire.Exchange
 		ask     message.Renew
+		since   time.Time
 		timer   *time.Timer
+		over    bool // its wait is over and it has had no news
 	}
 
 	// listed is a backend server that has announced itself.
@@ -143,7 +146,7 @@
 	if ask.Backend != nil && h.list(now, *ask.Backend, ask.Tally) {
 		h.Changed()
 	}
-	p := &parked{holders: h, x: x, ask: ask}
+	p := &parked{holders: h, x: x, ask: ask, since: now}
 	if h.news(ask) || !h.park(p) {
 		p.Do()
 		return
@@ -239,6 +242,7 @@
 // loop answers a renewal whose wait is over.
 func (p *parked) loop() {
 	if p.holders.take(p) {
+		p.over = true
 		p.holders.submit(p)
 	}
 }
@@ -246,12 +250,16 @@
 // Do answers a renewal, and implements pool.Task.
 func (p *parked) Do() {
 	h := p.holders
-	_, lead, err := h.control.leading(time.Now())
+	now := time.Now()
+	_, lead, err := h.control.leading(now)
 	if err != nil {
 		p.x.Fail(err)
 		return
 	}
 	answer := message.Renewed{Term: lead.Term, Lease: lease.Length}
+	if p.over && !h.uncounted && h.table.Prolong(now, p.ask.ID, p.ask.Incarnation) {
+		answer.Parked = now.Sub(p.since)
+	}
 	contracts, revision := h.control.state.Since(p.ask.Revision)
 	answer.Revision = revision
 	if p.ask.Kind == kindSidecar {
--- a/lease/holding.go
+++ b/lease/holding.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// Left returns how long the lease still holds at now.
+func (h *Holding) Left(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, h.until.Sub(now))
+}
+
 // Held reports whether the lease holds at now.
 func (h *Holding) Held(now time.Time) bool {
 	h.mu.Lock()
--- a/lease/table.go
+++ b/lease/table.go
@@ -115,6 +115,20 @@
 	return true
 }
 
+// Prolong renews the lease of a holder that is known and hasn't lost it, and
+// reports whether it could. What the holder has in force is as it said last.
+func (t *Table) Prolong(now time.Time, id, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, known := t.holders[id]
+	if !t.leading || !known || h.Incarnation != incarnation || now.After(h.Until) {
+		return false
+	}
+	h.Until = now.Add(t.longest())
+	t.holders[id] = h
+	return true
+}
+
 // Place returns the place of a holder among those of its kind, by name, and
 // how many there are.
 func (t *Table) Place(now time.Time, id, kind string) (place, count int) {
--- a/member/member.go
+++ b/member/member.go
@@ -24,6 +24,7 @@
 const (
 	pollTime    = 2500 * time.Millisecond
 	answerTime  = 1200 * time.Millisecond
+	reserveTime = time.Second // of the lease, left when a renewal's wait is over
 	leastPause  = 50 * time.Millisecond
 	mostPause   = 400 * time.Millisecond
 	releaseTime = time.Second
@@ -152,7 +153,9 @@
 }
 
 func (m *Member) renew(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTime+answerTime)
+	asked := time.Now()
+	wait := m.mayWait(asked)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	m.mu.Lock()
 	m.cancel = cancel
@@ -162,11 +165,10 @@
 		ID:          m.options.ID,
 		Incarnation: m.options.Incarnation,
 		Kind:        m.options.Kind,
-		Wait:        pollTime,
+		Wait:        wait,
 		Holds:       true,
 	}
 	m.options.Holder.Describe(&ask)
-	asked := time.Now()
 	address := m.address()
 	var answer message.Renewed
 	if err := m.options.Client.Ask(ctx, address, message.MethodRenew, ask, &answer); err != nil {
@@ -177,11 +179,18 @@
 	}
 	m.found(address)
 	m.options.Holder.Renewed(answer)
-	m.holding.Extend(asked, answer.Lease)
+	parked := min(answer.Parked, time.Since(asked))
+	m.holding.Extend(asked.Add(parked), answer.Lease)
 	m.signal()
 	return nil
 }
 
+// mayWait returns how long the next renewal may wait for news. One that is
+// first to reach a new leader brings the lease at once when little is left.
+func (m *Member) mayWait(now time.Time) time.Duration {
+	return max(0, min(pollTime, m.holding.Left(now)-reserveTime))
+}
+
 func (m *Member) signal() {
 	select {
 	case <-m.ready:
@@ -231,5 +240,8 @@
 		return true
 	}
 	m.next++
+	if m.options.Control[m.next%len(m.options.Control)] == address {
+		m.next++
+	}
 	return true
 }
--- a/message/message.go
+++ b/message/message.go
@@ -87,8 +87,9 @@
 		Marks     []Mark              `cbor:"5,keyasint,omitempty"`
 		Fleet     *Fleet              `cbor:"6,keyasint,omitempty"`
 		Change    *change.Change      `cbor:"7,keyasint,omitempty"`
-		Entries   int                 `cbor:"8,keyasint"` // entries that share the limits
-		Place     int                 `cbor:"9,keyasint"` // of this entry among them
+		Entries   int                 `cbor:"8,keyasint"`            // entries that share the limits
+		Place     int                 `cbor:"9,keyasint"`            // of this entry among them
+		Parked    time.Duration       `cbor:"10,keyasint,omitempty"` // the lease counts from so long after the request was sent
 	}
 
 	// Mark tells a sidecar the revision of a customer's contract.
