Give up attempts of orders whose begin's answer was lost

Cause: when the answer to an order's begin was lost and control then couldn't be reached until the order's time was over, the caller was told "not run", which was true, but the record stayed open: every resend was answered "pending, it may have run" for the keep-time, and the order never ran. The same happened when a resend's own begin ran out of time, and when a begin came late, after its attempt had proved that nothing ran and its record was dropped.

Ruled out: recognising an attempt by its entry (a resend may come through another); a bound on the time between begin and hand-over (it needs clocks).

Change: the entry that gave an attempt up says so to control by the attempt's name, as soon as control can be reached, for as long as the entry runs. The record then is void: another attempt may take the key, the same one never. A void record is kept for a minute, so that a late begin begins nothing.

After: refused ran no, then done, ran once. The twin, which doesn't give up, is still pending.

--- a/control/state.go
+++ b/control/state.go
@@ -193,5 +193,7 @@
 		c.Announce.At = now
 	case c.Begin != nil:
 		c.Begin.At = now
+	case c.Finish != nil:
+		c.Finish.At = now
 	}
 }
--- /dev/null
+++ b/entry/bed_test.go
@@ -0,0 +1,252 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/contract"
+	"endivedeck.example/fault"
+	"endivedeck.example/interval"
+	"endivedeck.example/kernel"
+	"endivedeck.example/message"
+	"endivedeck.example/order"
+	"endivedeck.example/pool"
+	"endivedeck.example/settings"
+	"endivedeck.example/wire"
+	"endivedeck.example/wire/memory"
+)
+
+const (
+	ledgerName   = "plant-ledger-1"
+	ledgerKind   = "plant-ledger"
+	wholeTime    = 5 * time.Second
+	grantPause   = time.Second
+	customerName = "crews"
+)
+
+type (
+	// bed is one entry before a fake control and a fake sidecar, over a
+	// network in memory, under the test's clock.
+	bed struct {
+		t       *testing.T
+		entry   *Entry
+		control *fakeControl
+		sidecar *fakeSidecar
+		servers []*wire.Server
+	}
+
+	// fakeControl keeps a book of orders and answers by what the test sets.
+	fakeControl struct {
+		mu    sync.Mutex
+		book  *order.Book
+		index uint64
+		lost  bool // begins are carried out, and their answers lost
+		away  bool // it doesn't lead
+	}
+
+	// fakeSidecar counts the calls that it hands over.
+	fakeSidecar struct {
+		mu      sync.Mutex
+		control *fakeControl
+		ran     map[string]int // by idempotency key
+		fail    error          // of the next call
+	}
+)
+
+// inBed runs a test with one entry under the test's clock.
+func inBed(t *testing.T, test func(b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memory.New()
+		workers := pool.New(64, 1024)
+		control := &fakeControl{book: order.NewBook()}
+		b := &bed{t: t, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}}}
+		b.serve(network, "control-1", workers, b.control.handlers())
+		b.serve(network, ledgerName, workers, b.sidecar.handlers())
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		process := kernel.DefaultProcess()
+		process.Instance = "entry-1"
+		host := &kernel.Host{Process: process, Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(), Pool: workers}
+		wanted := DefaultSettings()
+		wanted.Control = []string{"control-1"}
+		e, err := New(host, wanted, network.Transport("entry-1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.entry = e
+		e.join()
+		<-e.member.Ready()
+		interval.Wait(t.Context(), 2*grantPause)
+		test(b)
+		e.part(context.Background())
+		for _, s := range b.servers {
+			s.Close()
+		}
+		_ = workers.Stop(context.Background())
+		interval.Wait(context.Background(), time.Minute)
+	})
+}
+
+func (b *bed) serve(network *memory.Network, name string, workers *pool.Pool, handlers map[string]wire.Handler) {
+	b.t.Helper()
+	listener, err := network.Transport(name).Listen(name)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.servers = append(b.servers, wire.NewServer(listener, workers, handlers))
+}
+
+// order sends an order under a key and returns how it was answered.
+func (b *bed) order(key string) string {
+	caller, err := b.entry.desk.Identify("key of the crews")
+	if err == nil {
+		_, err = b.entry.desk.Do(b.t.Context(), Call{
+			ID:      nonce(),
+			Caller:  caller,
+			Class:   "orders",
+			Service: ledgerKind,
+			Method:  "POST",
+			Path:    "/orders",
+			Body:    []byte("cuttings"),
+			Key:     key,
+		})
+	}
+	if err == nil {
+		return "done"
+	}
+	return "refused: " + string(fault.Of(err)) + ", ran: " + string(fault.From(err).Ran)
+}
+
+func (f *fakeControl) handlers() map[string]wire.Handler {
+	return map[string]wire.Handler{
+		message.MethodRenew:   wire.HandlerFunc(f.renew),
+		message.MethodRelease: wire.HandlerFunc(func(x *wire.Exchange) { x.Reply(message.Nothing{}) }),
+		message.MethodBegin:   wire.HandlerFunc(f.begin),
+		message.MethodFinish:  wire.HandlerFunc(f.finish),
+	}
+}
+
+func (f *fakeControl) set(lost, away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = lost
+	f.away = away
+}
+
+func (f *fakeControl) renew(x *wire.Exchange) {
+	var ask message.Renew
+	if err := x.Decode(&ask); err != nil {
+		x.Fail(err)
+		return
+	}
+	class := contract.Class{Whole: settings.Duration(wholeTime), Rate: 100, Burst: 100, Concurrency: 100}
+	answer := message.Renewed{
+		Term:     1,
+		Lease:    time.Hour,
+		Revision: 1,
+		Entries:  1,
+		Contracts: []contract.Accepted{{Revision: 1, Contract: contract.Contract{
+			Customer: customerName,
+			Services: []string{ledgerKind},
+			Classes:  map[string]contract.Class{"orders": class},
+			Share:    1,
+			Keys:     []string{contract.HashKey("key of the crews")},
+		}}},
+		Fleet: &message.Fleet{
+			Version:  message.FleetVersion{Term: 1, Version: 1},
+			Backends: []message.Backend{{Name: ledgerName, Address: ledgerName, Kind: message.KindService, Service: ledgerKind}},
+		},
+	}
+	if ask.Fleet == answer.Fleet.Version {
+		time.AfterFunc(ask.Wait, func() { x.Reply(answer) })
+		return
+	}
+	x.Reply(answer)
+}
+
+func (f *fakeControl) begin(x *wire.Exchange) {
+	var begin order.Begin
+	if err := x.Decode(&begin); err != nil {
+		x.Fail(err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		x.Fail(fault.New(fault.Unavailable, fault.No, "it doesn't lead"))
+		return
+	}
+	f.index++
+	begin.At = time.Now()
+	begun := f.book.Begin(f.index, begin)
+	if f.lost {
+		f.away = true
+		x.End()
+		return
+	}
+	x.Reply(begun)
+}
+
+func (f *fakeControl) finish(x *wire.Exchange) {
+	var finish order.Finish
+	if err := x.Decode(&finish); err != nil {
+		x.Fail(err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		x.Fail(fault.New(fault.Unavailable, fault.No, "it doesn't lead"))
+		return
+	}
+	finish.At = time.Now()
+	x.Reply(f.book.Finish(finish))
+}
+
+func (f *fakeControl) record(finish order.Finish) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book.Finish(finish)
+}
+
+func (f *fakeSidecar) handlers() map[string]wire.Handler {
+	return map[string]wire.Handler{
+		message.MethodGrants: wire.HandlerFunc(f.grants),
+		message.MethodCall:   wire.HandlerFunc(f.call),
+	}
+}
+
+func (f *fakeSidecar) grants(x *wire.Exchange) {
+	if x.Send(message.Grant{Incarnation: "1", For: 3 * grantPause, Load: message.Load{Capacity: 8}}) != nil {
+		x.End()
+		return
+	}
+	time.AfterFunc(grantPause, func() { f.grants(x) })
+}
+
+func (f *fakeSidecar) call(x *wire.Exchange) {
+	var call message.ServiceCall
+	if err := x.Decode(&call); err != nil {
+		x.Fail(err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.fail; err != nil {
+		f.fail = nil
+		x.Fail(err)
+		return
+	}
+	f.ran[call.Key]++
+	answer := order.Answer{Status: 201}
+	key := order.Key{Customer: call.Customer, Service: ledgerKind, Key: call.Key}
+	f.control.record(order.Finish{Key: key, Intent: call.Order, Answer: answer})
+	x.Reply(message.ServiceAnswer{ID: call.ID, Answer: answer})
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -144,7 +144,9 @@
 		return answer, fault.New(e.Kind, e.Ran, "%s; ask again with the same key", e.Text)
 	}
 	// The proof that nothing ran frees the key; until that is recorded the caller is told that it isn't known.
-	if err := d.finish(order.Finish{Key: record.Key, Intent: record.Intent, NotRun: true}); err != nil {
+	finish := order.Finish{Key: record.Key, Intent: record.Intent, NotRun: true}
+	if err := d.finish(finish); err != nil {
+		d.settler.add(finish)
 		return answer, fault.New(fault.Unavailable, fault.Unknown, "it isn't recorded that the order didn't run; ask again with the same key")
 	}
 	return answer, err
@@ -153,6 +155,7 @@
 // begin asks control to begin the order. The attempt's name lets it ask again
 // when the answer is lost.
 func (d *Desk) begin(ctx context.Context, c Call, accepted contract.Accepted) (order.Begun, error) {
+	unknown := false // whether the log may hold the attempt
 	begin := order.Begin{
 		Key:     order.Key{Customer: accepted.Contract.Customer, Service: c.Service, Key: c.Key},
 		Digest:  digestOf(c),
@@ -165,8 +168,12 @@
 		if err == nil {
 			return begun, fault.Wrap(begun.Error)
 		}
+		unknown = unknown || fault.From(err).Ran != fault.No
 		if ctx.Err() != nil || fault.From(err).Ran == fault.No || !interval.Wait(ctx, finishPause) {
 			// Begun or not, nothing was handed over, and nothing will be.
+			if unknown {
+				d.settler.add(order.Finish{Key: begin.Key, NotRun: true, Attempt: begin.Attempt})
+			}
 			return begun, fault.New(fault.Of(err), fault.No, "the order couldn't be recorded: %s", fault.From(err).Text)
 		}
 	}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -27,6 +27,7 @@
 		left  atomic.Bool
 
 		dispatcher *dispatch.Dispatcher
+		settler    *settler
 	}
 
 	// Caller is a customer who has shown a key.
@@ -59,7 +60,7 @@
 )
 
 func newDesk(e *Entry, policy routing.Policy) *Desk {
-	return &Desk{entry: e, dispatcher: dispatch.New(e.fleet, e.limits, policy)}
+	return &Desk{entry: e, dispatcher: dispatch.New(e.fleet, e.limits, policy), settler: newSettler(e)}
 }
 
 func (d *Desk) leave() { d.left.Store(true) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,18 +128,7 @@
 // Start implements kernel.Role. The listener opens at once, and answers its
 // health check once the entry has a state that a quorum confirmed.
 func (e *Entry) Start(context.Context) error {
-	running, stop := context.WithCancel(context.Background())
-	e.stop = stop
-	e.watch.start(running)
-	e.member = member.New(member.Options{
-		ID:          e.host.Process.Instance,
-		Incarnation: nonce(),
-		Kind:        roleName,
-		Control:     e.settings.Control,
-		Client:      e.client,
-		Holder:      e,
-		Log:         e.log,
-	})
+	e.join()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", e.health)
 	for _, name := range Fronts.Names() {
@@ -164,11 +153,35 @@
 	e.desk.leave()
 	e.gate.Leave(ctx, e.settings.Leave.Std())
 	err := e.gate.Stop(ctx)
+	e.part(ctx)
+	return err
+}
+
+// join has the entry become a member and follow the sidecars' grants.
+func (e *Entry) join() {
+	running, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.watch.start(running)
+	e.member = member.New(member.Options{
+		ID:          e.host.Process.Instance,
+		Incarnation: nonce(),
+		Kind:        roleName,
+		Control:     e.settings.Control,
+		Client:      e.client,
+		Holder:      e,
+		Log:         e.log,
+	})
+	go e.desk.settler.run(running)
+}
+
+// part undoes join, once no more requests run.
+func (e *Entry) part(ctx context.Context) {
+	e.desk.settler.drain(ctx)
 	e.member.Stop()
 	e.stop()
+	<-e.desk.settler.ended
 	e.watch.wait()
 	e.client.Close()
-	return err
 }
 
 // Address returns the address that callers reach.
--- /dev/null
+++ b/entry/order_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/golden"
+	"endivedeck.example/interval"
+)
+
+// TestAbandonedOrder has the answer to an order's begin lost, and control out
+// of reach until the order's time is over: the caller is told that nothing
+// ran, and once control is back the same key is free and runs once.
+func TestAbandonedOrder(t *testing.T) {
+	var text strings.Builder
+	note := func(format string, args ...any) { fmt.Fprintf(&text, format+"\n", args...) }
+	inBed(t, func(b *bed) {
+		b.control.set(true, false)
+		note("control out of reach, the begin's answer lost: %s", b.order("key-1"))
+		b.control.set(false, false)
+		interval.Wait(b.t.Context(), 2*time.Second)
+		note("control back, the same key: %s", b.order("key-1"))
+		note("the same key again: %s", b.order("key-1"))
+		note("it ran %d times", b.sidecar.ran["key-1"])
+
+		b.sidecar.fail = fault.New(fault.Unavailable, fault.No, "no connection to the service")
+		note("the service out of reach: %s", b.order("key-2"))
+		interval.Wait(b.t.Context(), 2*time.Second)
+		note("later, the same key: %s", b.order("key-2"))
+		note("it ran %d times", b.sidecar.ran["key-2"])
+	})
+	inBed(t, func(b *bed) {
+		b.entry.desk.settler.off = true
+		b.control.set(true, false)
+		note("twin: control out of reach, the begin's answer lost: %s", b.order("key-1"))
+		b.control.set(false, false)
+		interval.Wait(b.t.Context(), 2*time.Second)
+		note("twin: control back, the same key: %s", b.order("key-1"))
+	})
+	golden.Check(t, "abandoned.golden", text.String())
+}
--- a/order/order.go
+++ b/order/order.go
@@ -19,8 +19,13 @@
 const (
 	Open State = iota // begun; it may have run
 	Done              // it has run and the answer is recorded
+	Void              // it didn't run, and its attempt never will
 )
 
+// voidTime is how long the record of an attempt that was given up is kept, so
+// that its begin, if it comes late, begins nothing.
+const voidTime = time.Minute
+
 type (
 	// State is the state of a record.
 	State uint8
@@ -68,12 +73,15 @@
 	}
 
 	// Finish records what became of an order. With NotRun, which needs
-	// proof, the record is dropped and the key is free again.
+	// proof, the key is free again for another attempt.
 	Finish struct {
 		Key    Key    `cbor:"1,keyasint"`
 		Intent uint64 `cbor:"2,keyasint"`
 		NotRun bool   `cbor:"3,keyasint"`
 		Answer Answer `cbor:"4,keyasint"`
+
+		Attempt string    `cbor:"5,keyasint,omitempty"` // of a NotRun whose Intent isn't known
+		At      time.Time `cbor:"6,keyasint"`           // the leader's time of day
 	}
 
 	// Finished answers Finish.
@@ -98,7 +106,10 @@
 func (b *Book) Begin(index uint64, begin Begin) Begun {
 	b.forget(begin.At)
 	r := b.Records[begin.Key]
-	if r == nil {
+	if r != nil && r.State == Void && r.Attempt == begin.Attempt {
+		return Begun{Error: &fault.Error{Kind: fault.Stale, Ran: fault.No, Text: "the attempt was given up"}}
+	}
+	if r == nil || r.State == Void {
 		r = &Record{
 			Key:     begin.Key,
 			Digest:  begin.Digest,
@@ -121,18 +132,11 @@
 // that was begun anew since, changes nothing and is fault.Stale.
 func (b *Book) Finish(finish Finish) Finished {
 	r := b.Records[finish.Key]
-	if r == nil || r.Intent != finish.Intent {
-		if finish.NotRun {
-			return Finished{}
-		}
-		return Finished{Error: &fault.Error{Kind: fault.Stale, Ran: fault.Unknown, Text: "the order isn't on record any more"}}
-	}
 	if finish.NotRun {
-		if r.State == Done {
-			return Finished{Error: &fault.Error{Kind: fault.Conflict, Ran: fault.Yes, Text: "the order is recorded as done"}}
-		}
-		delete(b.Records, finish.Key)
-		return Finished{}
+		return b.void(r, finish)
+	}
+	if r == nil || r.Intent != finish.Intent || r.State == Void {
+		return Finished{Error: &fault.Error{Kind: fault.Stale, Ran: fault.Unknown, Text: "the order isn't on record any more"}}
 	}
 	if r.State == Open {
 		r.State = Done
@@ -141,6 +145,20 @@
 	return Finished{}
 }
 
+// void gives up the attempt that began r, or one whose begin hasn't come yet.
+func (b *Book) void(r *Record, finish Finish) Finished {
+	own := r != nil && (r.Intent == finish.Intent || finish.Attempt != "" && r.Attempt == finish.Attempt)
+	switch {
+	case own && r.State == Done:
+		return Finished{Error: &fault.Error{Kind: fault.Conflict, Ran: fault.Yes, Text: "the order is recorded as done"}}
+	case own && r.State == Open:
+		b.put(&Record{Key: r.Key, Attempt: r.Attempt, Intent: r.Intent, State: Void, Until: finish.At.Add(voidTime)})
+	case r == nil && finish.Attempt != "":
+		b.put(&Record{Key: finish.Key, Attempt: finish.Attempt, State: Void, Until: finish.At.Add(voidTime)})
+	}
+	return Finished{}
+}
+
 // List returns all records in no particular order.
 func (b *Book) List() []Record {
 	list := make([]Record, 0, len(b.Records))
