Bring whole answers over forgotten connections when every sidecar is affected

When something forgets all connections at once, the query itself is lost with its connection, so the sidecar that is asked to go on answers that it doesn't keep it. The entry took that for a failure of the backend server, let it rest, and did the same at the next. With all at rest its tries were used up by 100 ms pauses, and the answer was cut with nearly a minute of its time left. Besides, the loss of a grants' connection revoked the grant at once.

Ruled out: the sidecars (each was well and said so), the relay (new connections passed), the silence bound.

Change: a sidecar that is reached and keeps nothing is asked anew, there. Once a query was sent, waiting for a backend server isn't a try: the contract's limits bound it; nor is a try that brought the answer on. A lost grants' call is opened anew at once, and the grant revoked only when that fails.

--- a/cmd/endivedeck/failure_test.go
+++ b/cmd/endivedeck/failure_test.go
@@ -250,13 +250,14 @@
 }
 
 // TestSilentConnections has relays forget the connections to sidecars and
-// engines while answers stream: every answer still comes whole.
+// engines while answers stream and orders run: every answer still comes whole,
+// and every order runs once.
 func TestSilentConnections(t *testing.T) {
 	s := &site{t: t, step: "100ms", relayed: true}
 	s.open(2, 1)
 	s.operate(http.MethodPut, "/v1/contracts/crews?replaces=0", crews())
-	s.awaitServing(false)
-	traffic := s.traffic(6, 0)
+	s.awaitServing(true)
+	traffic := s.traffic(6, 3)
 	forgotten := 0
 	for range 2 {
 		interval.Wait(s.ctx, 700*time.Millisecond)
@@ -270,11 +271,12 @@
 		interval.Wait(s.ctx, 4*time.Second)
 	}
 	traffic.end()
-	whole, wrong, cut, refused, _, _ := traffic.score()
-	t.Logf("%d answers whole, %d wrong, %d cut, %d refused; %d flows to the last sidecar forgotten", whole, wrong, cut, refused, forgotten)
-	if wrong+cut > 0 || whole == 0 {
-		t.Errorf("got %d wrong, %d cut, want none\n%s", wrong, cut, traffic.faults())
+	whole, wrong, cut, refused, done, unknown := traffic.score()
+	t.Logf("%d answers whole, %d wrong, %d cut, %d refused; %d orders done, %d unknown; %d flows to the last sidecar forgotten", whole, wrong, cut, refused, done, unknown, forgotten)
+	if wrong+cut+unknown > 0 || whole == 0 || done == 0 {
+		t.Errorf("got %d wrong, %d cut, %d unknown, want none\n%s", wrong, cut, unknown, traffic.faults())
 	}
+	s.checkOrders(traffic, 1)
 }
 
 // TestKills kills an engine, a sidecar, an entry and the control leader while
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -24,6 +25,9 @@
 )
 
 const (
+	modelName    = "crew-assist"
+	answerPieces = 10
+	piecePause   = 100 * time.Millisecond
 	ledgerName   = "plant-ledger-1"
 	ledgerKind   = "plant-ledger"
 	wholeTime    = 5 * time.Second
@@ -31,14 +35,18 @@
 	customerName = "crews"
 )
 
+var engineNames = []string{"crew-assist-1", "crew-assist-2"}
+
 type (
 	// bed is one entry before a fake control and a fake sidecar, over a
 	// network in memory, under the test's clock.
 	bed struct {
 		t       *testing.T
+		network *memory.Network
 		entry   *Entry
 		control *fakeControl
 		sidecar *fakeSidecar
+		engines []*fakeEngine // behind their sidecars
 		servers []*wire.Server
 	}
 
@@ -51,6 +59,13 @@
 		away  bool // it doesn't lead
 	}
 
+	// fakeEngine stands for an engine and its sidecar: it gives answers of
+	// some pieces, and keeps none.
+	fakeEngine struct {
+		mu   sync.Mutex
+		asks int
+	}
+
 	// fakeSidecar counts the calls that it hands over.
 	fakeSidecar struct {
 		mu      sync.Mutex
@@ -66,9 +81,14 @@
 		network := memory.New()
 		workers := pool.New(64, 1024)
 		control := &fakeControl{book: order.NewBook()}
-		b := &bed{t: t, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}}}
-		b.serve(network, "control-1", workers, b.control.handlers())
-		b.serve(network, ledgerName, workers, b.sidecar.handlers())
+		b := &bed{t: t, network: network, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}}}
+		b.serve("control-1", workers, b.control.handlers())
+		b.serve(ledgerName, workers, b.sidecar.handlers())
+		for _, name := range engineNames {
+			e := &fakeEngine{}
+			b.engines = append(b.engines, e)
+			b.serve(name, workers, e.handlers())
+		}
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		process := kernel.DefaultProcess()
@@ -94,9 +114,9 @@
 	})
 }
 
-func (b *bed) serve(network *memory.Network, name string, workers *pool.Pool, handlers map[string]wire.Handler) {
+func (b *bed) serve(name string, workers *pool.Pool, handlers map[string]wire.Handler) {
 	b.t.Helper()
-	listener, err := network.Transport(name).Listen(name)
+	listener, err := b.network.Transport(name).Listen(name)
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -154,8 +174,9 @@
 		Entries:  1,
 		Contracts: []contract.Accepted{{Revision: 1, Contract: contract.Contract{
 			Customer: customerName,
+			Models:   []string{modelName},
 			Services: []string{ledgerKind},
-			Classes:  map[string]contract.Class{"orders": class},
+			Classes:  map[string]contract.Class{"orders": class, "chat": class},
 			Share:    1,
 			Keys:     []string{contract.HashKey("key of the crews")},
 		}}},
@@ -164,6 +185,10 @@
 			Backends: []message.Backend{{Name: ledgerName, Address: ledgerName, Kind: message.KindService, Service: ledgerKind}},
 		},
 	}
+	for _, name := range engineNames {
+		b := message.Backend{Name: name, Address: name, Kind: message.KindEngine, Models: []string{modelName}}
+		answer.Fleet.Backends = append(answer.Fleet.Backends, b)
+	}
 	if ask.Fleet == answer.Fleet.Version {
 		time.AfterFunc(ask.Wait, func() { x.Reply(answer) })
 		return
@@ -216,6 +241,71 @@
 	f.book.Finish(finish)
 }
 
+// answer collects a query's answer.
+type answer struct{ text string }
+
+// Take implements Reader.
+func (a *answer) Take(text string, _ int) error {
+	a.text += text
+	return nil
+}
+
+// chat asks a model and returns how it was answered.
+func (b *bed) chat() string {
+	caller, err := b.entry.desk.Identify("key of the crews")
+	var got answer
+	if err == nil {
+		q := Query{ID: nonce(), Caller: caller, Class: "chat", Model: modelName, Prompt: "which bank", Most: answerPieces}
+		_, err = b.entry.desk.Ask(b.t.Context(), q, &got)
+	}
+	if err != nil {
+		return "broke off with " + string(fault.Of(err)) + " after: " + got.text
+	}
+	return "whole: " + got.text
+}
+
+func (f *fakeEngine) handlers() map[string]wire.Handler {
+	return map[string]wire.Handler{
+		message.MethodGrants: wire.HandlerFunc(f.grants),
+		message.MethodWork:   wire.HandlerFunc(f.work),
+		message.MethodCancel: wire.HandlerFunc(func(x *wire.Exchange) { x.Reply(message.Nothing{}) }),
+	}
+}
+
+func (f *fakeEngine) grants(x *wire.Exchange) {
+	grant := message.Grant{Incarnation: "1", For: 3 * grantPause, Models: []string{modelName}, Load: message.Load{Capacity: 8}}
+	if x.Send(grant) != nil {
+		x.End()
+		return
+	}
+	time.AfterFunc(grantPause, func() { f.grants(x) })
+}
+
+func (f *fakeEngine) work(x *wire.Exchange) {
+	var work message.Work
+	if err := x.Decode(&work); err != nil {
+		x.Fail(err)
+		return
+	}
+	if work.Resume {
+		x.Fail(fault.New(fault.NotFound, fault.Unknown, "the answer isn't kept here"))
+		return
+	}
+	f.mu.Lock()
+	f.asks++
+	f.mu.Unlock()
+	f.give(x, work.ID, work.Offset)
+}
+
+func (f *fakeEngine) give(x *wire.Exchange, id string, offset int) {
+	p := message.Piece{ID: id, Offset: offset, Tokens: 1, Text: fmt.Sprintf("%d ", offset), End: offset == answerPieces-1}
+	if x.Send(p) != nil || p.End {
+		x.End()
+		return
+	}
+	time.AfterFunc(piecePause, func() { f.give(x, id, offset+1) })
+}
+
 func (f *fakeSidecar) handlers() map[string]wire.Handler {
 	return map[string]wire.Handler{
 		message.MethodGrants: wire.HandlerFunc(f.grants),
--- a/entry/query.go
+++ b/entry/query.go
@@ -94,6 +94,8 @@
 
 // run tries one backend server after another until the answer is whole. A
 // query may be run again, so each goes on from where the last one broke off.
+// Tries that bring the answer on aren't counted, nor is waiting for a backend
+// server once the query was sent: its contract's limits bound that.
 func (r *query) run(ctx context.Context) (Usage, error) {
 	var last error
 	for try := 0; try < r.desk.entry.settings.Tries; try++ {
@@ -116,13 +118,20 @@
 			if !interval.Wait(ctx, retryPause) {
 				return r.usage, last
 			}
+			if r.inTime() {
+				try--
+			}
 			continue
 		}
 		r.tried[ticket.Name] = true
+		had := r.usage.Answer
 		err = r.at(ctx, &ticket)
 		if err == nil {
 			return r.usage, nil
 		}
+		if r.usage.Answer > had {
+			try = -1
+		}
 		r.sent = r.sent || fault.From(err).Ran != fault.No
 		last = r.ran(err)
 		if fault.Of(err) == fault.Stale && r.readmit(ctx) {
@@ -138,6 +147,13 @@
 	return r.usage, last
 }
 
+// inTime reports whether a query that was sent may still wait for a backend
+// server: until its first token is due, or its whole answer.
+func (r *query) inTime() bool {
+	first := r.class.FirstToken.Std()
+	return r.sent && (r.usage.Answer > 0 || first == 0 || time.Since(r.begun) < first)
+}
+
 // readmit goes by the newer contract that a sidecar knew of, once it is in
 // force here too: a planned change refuses nobody who is still served.
 func (r *query) readmit(ctx context.Context) bool {
@@ -170,12 +186,16 @@
 
 // at has one backend server give the answer, or the rest of it. When the way
 // to the sidecar is lost, it comes back there for the rest, as long as that
-// brings the answer on.
+// brings the answer on. A sidecar that answers that it doesn't keep it, because
+// the query was lost with the way, is asked anew.
 func (r *query) at(ctx context.Context, ticket *fleet.Ticket) error {
 	err := r.call(ctx, ticket, false)
 	for fault.Of(err) == fault.Broken && ctx.Err() == nil {
 		had := r.usage.Answer
 		again := r.call(ctx, ticket, true)
+		if fault.Of(again) == fault.NotFound {
+			again = r.call(ctx, ticket, false)
+		}
 		if again == nil || fault.Of(again) == fault.Canceled || fault.Of(again) == fault.Deadline {
 			err = again
 			break
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endivedeck.example/fleet"
+	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
 )
@@ -68,28 +69,26 @@
 	}
 }
 
-// run keeps the call open until the watcher is cancelled.
+// run keeps the call open until the watcher is cancelled. A call that was lost
+// is opened anew at once: the grant holds on meanwhile, for the connection may
+// be lost and the sidecar well. It is revoked when the sidecar can't be reached.
 func (w *watcher) run(ctx context.Context) {
 	defer w.watchers.ended.Done()
 	for ctx.Err() == nil {
-		w.follow(ctx)
-		if ctx.Err() == nil {
-			w.watchers.entry.fleet.Revoke(w.name)
+		if w.follow(ctx) || ctx.Err() != nil {
+			continue
 		}
-		timer := time.NewTimer(watchPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		w.watchers.entry.fleet.Revoke(w.name)
+		interval.Wait(ctx, watchPause)
 	}
 }
 
-func (w *watcher) follow(ctx context.Context) {
+// follow takes in grants until the call ends, and reports whether any came.
+func (w *watcher) follow(ctx context.Context) (granted bool) {
 	e := w.watchers.entry
 	call, err := e.client.Open(ctx, w.address, message.MethodGrants, message.Watch{Entry: e.host.Process.Instance})
 	if err != nil {
-		return
+		return false
 	}
 	defer call.Cancel()
 	stop := context.AfterFunc(ctx, call.Cancel)
@@ -97,8 +96,9 @@
 	for {
 		var grant message.Grant
 		if err := call.Receive(&grant); err != nil {
-			return
+			return granted
 		}
+		granted = true
 		e.fleet.Grant(time.Now(), w.name, grant)
 	}
 }
--- a/wire/memory/memory.go
+++ b/wire/memory/memory.go
@@ -1,5 +1,5 @@
 // Package memory is a transport over pipes inside one process, with paths
-// that can be cut.
+// that can be cut and connections that can be forgotten.
 //
 // A Network stands for the wires between named processes. A cut swallows what
 // is sent from one name to another without an error, as a broken network
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"endivedeck.example/fault"
@@ -61,6 +62,7 @@
 		streams chan *stream
 		done    chan struct{}
 		once    sync.Once
+		silent  atomic.Bool // something on the way has lost track of it
 	}
 
 	stream struct {
@@ -95,6 +97,19 @@
 	}
 }
 
+// Forget swallows all that passes over the connections that are open between
+// two names; new ones work.
+func (n *Network) Forget(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.path == (path{a, b}) || c.path == (path{b, a}) {
+			c.silent.Store(true)
+			time.AfterFunc(wire.Silence, c.giveUp)
+		}
+	}
+}
+
 // Isolate cuts a name off from all the others given, both ways.
 func (n *Network) Isolate(name string, others ...string) {
 	for _, other := range others {
@@ -242,7 +257,7 @@
 // Close ends both ends, since a closed connection says so to its peer.
 func (c *conn) Close() error {
 	c.giveUp()
-	if !c.network.cut(c.path) {
+	if !c.silent.Load() && !c.network.cut(c.path) {
 		c.other.giveUp()
 	}
 	return nil
@@ -259,7 +274,7 @@
 
 // Write swallows p when the path is cut.
 func (s *stream) Write(p []byte) (int, error) {
-	if s.owner.network.cut(s.owner.path) {
+	if s.owner.silent.Load() || s.owner.network.cut(s.owner.path) {
 		return len(p), nil
 	}
 	return s.Conn.Write(p)
