Find forgotten connections within a second; prove lost orders not to have run

Cause: on a connection that something had forgotten, the next token came only after QUIC's 2.5 s of silence, too late for an urgent answer. An order lost on its way with such a connection stayed on record as begun for its keep-time, "pending, it may have run", and one whose answer was lost was answered "unknown", though its sidecar recorded it a moment later.

Ruled out: a shorter silence bound (each idle connection would cost more; the leader's idle cost is already over its target); closing a connection on doubt (the other streams on it may be well).

Change: a sidecar sends a sign of life at once and every 300 ms while an engine is quiet; an entry without one for 1 s asks again over a new connection, and calls that run over the old one may go on for 10 s. An order whose call breaks off is asked about over a new connection: if it wasn't handed over, it never will be, and it is begun anew; if it was, its recorded answer is waited for. The network in memory no longer lets a closed stream be seen across a cut.

An order lost on its way: unknown, then pending, ran 0 times; after: done, ran once; its twin without the question is pending.

--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -70,8 +70,10 @@
 	fakeSidecar struct {
 		mu      sync.Mutex
 		control *fakeControl
-		ran     map[string]int // by idempotency key
-		fail    error          // of the next call
+		ran     map[string]int  // by idempotency key
+		handed  map[uint64]bool // intents that were handed over, or never will be
+		fail    error           // of the next call
+		forget  func()          // called once the next call has run
 	}
 )
 
@@ -81,7 +83,7 @@
 		network := memory.New()
 		workers := pool.New(64, 1024)
 		control := &fakeControl{book: order.NewBook()}
-		b := &bed{t: t, network: network, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}}}
+		b := &bed{t: t, network: network, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}, handed: map[uint64]bool{}}}
 		b.serve("control-1", workers, b.control.handlers())
 		b.serve(ledgerName, workers, b.sidecar.handlers())
 		for _, name := range engineNames {
@@ -310,6 +312,7 @@
 	return map[string]wire.Handler{
 		message.MethodGrants: wire.HandlerFunc(f.grants),
 		message.MethodCall:   wire.HandlerFunc(f.call),
+		message.MethodFence:  wire.HandlerFunc(f.fence),
 	}
 }
 
@@ -334,9 +337,31 @@
 		x.Fail(err)
 		return
 	}
+	if f.handed[call.Order] {
+		x.Fail(fault.New(fault.Conflict, fault.Unknown, "handed over already"))
+		return
+	}
+	f.handed[call.Order] = true
 	f.ran[call.Key]++
 	answer := order.Answer{Status: 201}
 	key := order.Key{Customer: call.Customer, Service: ledgerKind, Key: call.Key}
 	f.control.record(order.Finish{Key: key, Intent: call.Order, Answer: answer})
+	if f.forget != nil {
+		f.forget()
+		f.forget = nil
+	}
 	x.Reply(message.ServiceAnswer{ID: call.ID, Answer: answer})
 }
+
+func (f *fakeSidecar) fence(x *wire.Exchange) {
+	var ask message.Fence
+	if err := x.Decode(&ask); err != nil {
+		x.Fail(err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	handed := f.handed[ask.Order]
+	f.handed[ask.Order] = true
+	x.Reply(message.Fenced{Handed: handed})
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -22,6 +22,7 @@
 	finishPause = 100 * time.Millisecond
 	openPause   = 200 * time.Millisecond
 	openTime    = 3 * time.Second // to wait for an earlier attempt
+	fenceTime   = 2 * time.Second // to learn whether an order was handed over
 	maxKeyBytes = 255
 )
 
@@ -117,16 +118,27 @@
 }
 
 // order begins the order in the log and hands it over once. From then on it
-// goes on without its caller, so that its outcome is recorded.
-func (d *Desk) order(ctx context.Context, c Call, accepted contract.Accepted) (order.Answer, error) {
-	begun, err := d.begin(ctx, c, accepted)
-	if err != nil {
-		return order.Answer{}, err
-	}
-	if !begun.Go {
-		return d.earlier(ctx, c, accepted, begun)
+// goes on without its caller, so that its outcome is recorded. One that was
+// lost on its way, and is proved not to have run, is begun anew.
+func (d *Desk) order(ctx context.Context, c Call, accepted contract.Accepted) (answer order.Answer, err error) {
+	again, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	for lost := false; ; {
+		var begun order.Begun
+		begun, err = d.begin(ctx, c, accepted)
+		if err != nil {
+			return order.Answer{}, err
+		}
+		if !begun.Go {
+			return d.earlier(ctx, c, accepted, begun)
+		}
+		answer, err = d.run(ctx, c, accepted, begun.Record)
+		proved := fault.From(err) != nil && fault.From(err).Ran == fault.No
+		lost = proved && (lost || fault.Of(err) == fault.Broken)
+		if !lost || !interval.Wait(again, finishPause) {
+			return answer, err
+		}
 	}
-	return d.run(ctx, c, accepted, begun.Record)
 }
 
 // run hands over an order that this attempt has begun. The sidecar records
@@ -140,6 +152,10 @@
 		return answer, nil
 	}
 	e := fault.From(err)
+	if e.Ran == fault.Unknown && e.Kind == fault.Broken {
+		// It was handed over, and the answer lost with the connection: the sidecar records it.
+		return d.earlier(ctx, c, accepted, order.Begun{Record: record})
+	}
 	if e.Ran != fault.No {
 		return answer, fault.New(e.Kind, e.Ran, "%s; ask again with the same key", e.Text)
 	}
@@ -253,6 +269,20 @@
 	return order.Answer{}, last
 }
 
+// fence asks the sidecar that an order was lost on the way to, over another
+// connection, never to hand it over, and reports whether it never will.
+func (d *Desk) fence(ctx context.Context, ticket *fleet.Ticket, intent uint64) bool {
+	if d.unfenced {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, fenceTime)
+	defer cancel()
+	var fenced message.Fenced
+	ask := message.Fence{Order: intent, Incarnation: ticket.Incarnation}
+	err := d.entry.client.Ask(ctx, ticket.Address, message.MethodFence, ask, &fenced)
+	return err == nil && !fenced.Handed
+}
+
 func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, h handing) (order.Answer, error) {
 	left, _ := ctx.Deadline()
 	call := message.ServiceCall{
@@ -274,7 +304,12 @@
 		d.entry.host.Metrics.GetOrCreateCounter("answers_crossed_total").Inc()
 		err = fault.New(fault.Broken, fault.Unknown, "the sidecar gave the answer to another call")
 	}
-	d.entry.fleet.Done(time.Now(), ticket, 0, blames(err))
+	blame := blames(err)
+	if h.intent != 0 && !h.again && fault.Of(err) == fault.Broken && d.fence(ctx, ticket, h.intent) {
+		err = fault.New(fault.Broken, fault.No, "the order was lost on its way to the service")
+		blame = false // the sidecar could be asked
+	}
+	d.entry.fleet.Done(time.Now(), ticket, 0, blame)
 	return answer.Answer, err
 }
 
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -28,6 +28,8 @@
 
 		dispatcher *dispatch.Dispatcher
 		settler    *settler
+
+		unfenced bool // lost orders aren't asked about; for a twin
 	}
 
 	// Caller is a customer who has shown a key.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,7 @@
 		Transport string            `json:"transport"`
 		Routing   string            `json:"routing"`
 		Limits    gate.Limits       `json:"limits"`
-		Silence   settings.Duration `json:"silence" range:"100ms..1m"` // between two pieces before an answer is asked for anew
+		Silence   settings.Duration `json:"silence" range:"100ms..1m"` // without a sign of life before an answer is asked for over a new connection
 		Tries     int               `json:"tries" range:"1..16"`       // backend servers for one request
 		Subset    int               `json:"subset" range:"1..10000"`   // backend servers of each model or service that this entry uses
 		Leave     settings.Duration `json:"leaveTime" range:"0s..5m"`  // between a failing health check and the listener's end
@@ -86,7 +86,7 @@
 		Transport: "quic",
 		Routing:   "parted",
 		Limits:    gate.DefaultLimits(),
-		Silence:   settings.Duration(5 * time.Second),
+		Silence:   settings.Duration(time.Second),
 		Tries:     4,
 		Subset:    100,
 		Leave:     settings.Duration(2 * time.Second),
--- a/entry/forgotten_test.go
+++ b/entry/forgotten_test.go
@@ -28,7 +28,7 @@
 			}
 			begun := time.Now()
 			outcome := b.chat()
-			fmt.Fprintf(&text, "forgotten after %v: %s, %d asks, after %v\n", after, outcome, b.engines[0].asks+b.engines[1].asks, time.Since(begun).Round(time.Second))
+			fmt.Fprintf(&text, "forgotten after %v: %s, %d asks, after %v\n", after, outcome, b.engines[0].asks+b.engines[1].asks, time.Since(begun).Round(100*time.Millisecond))
 		})
 	}
 	golden.Check(t, "forgotten.golden", text.String())
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -11,6 +11,26 @@
 	"endivedeck.example/interval"
 )
 
+// TestLostCall loses an order on its way to the sidecar, and another's answer
+// on its way back, with the connection. Each is answered as done and ran once.
+func TestLostCall(t *testing.T) {
+	var text strings.Builder
+	note := func(format string, args ...any) { fmt.Fprintf(&text, format+"\n", args...) }
+	inBed(t, func(b *bed) {
+		forget := func() { b.network.Forget("entry-1", ledgerName) }
+		forget()
+		note("the call lost: %s, ran %d times", b.order("key-1"), b.sidecar.ran["key-1"])
+		b.sidecar.forget = forget
+		note("the answer lost: %s, ran %d times", b.order("key-2"), b.sidecar.ran["key-2"])
+	})
+	inBed(t, func(b *bed) {
+		b.entry.desk.unfenced = true
+		b.network.Forget("entry-1", ledgerName)
+		note("twin: the call lost: %s, ran %d times", b.order("key-1"), b.sidecar.ran["key-1"])
+	})
+	golden.Check(t, "lostcall.golden", text.String())
+}
+
 // TestAbandonedOrder has the answer to an order's begin lost, and control out
 // of reach until the order's time is over: the caller is told that nothing
 // ran, and once control is back the same key is free and runs once.
--- a/entry/query.go
+++ b/entry/query.go
@@ -240,7 +240,7 @@
 	stop := context.AfterFunc(ctx, call.Cancel)
 	defer stop()
 	silence := r.desk.entry.settings.Silence.Std()
-	watch := time.AfterFunc(silence, call.Cancel)
+	watch := time.AfterFunc(silence, func() { r.lost(ticket.Address, call) })
 	defer watch.Stop()
 	for {
 		var piece message.Piece
@@ -258,6 +258,13 @@
 	}
 }
 
+// lost takes note that the way to a sidecar has been without a sign of life:
+// this call ends, and new ones use another connection.
+func (r *query) lost(address string, call *wire.Call) {
+	r.desk.entry.client.Avoid(address, call)
+	call.Cancel()
+}
+
 // broke makes an error of how a call ended.
 func (r *query) broke(ctx context.Context, ticket *fleet.Ticket, err error) error {
 	if ctx.Err() != nil || fault.Of(err) == fault.Canceled {
@@ -284,12 +291,15 @@
 	case p.Offset < r.usage.Answer:
 		metrics.GetOrCreateCounter("pieces_doubled_total").Inc()
 		return nil
+	case p.Tokens == 0 && !p.End:
+		r.sent = true
+		return nil // a sign of life
 	case p.Offset > r.usage.Answer:
 		return fault.New(fault.Broken, fault.Unknown, "a piece of the answer is missing")
 	}
 	r.sent = true
-	r.desk.entry.fleet.First(time.Now(), ticket)
 	if p.Tokens > 0 {
+		r.desk.entry.fleet.First(time.Now(), ticket)
 		r.text.WriteString(p.Text)
 		r.usage.Answer += p.Tokens
 		if err := r.reader.Take(p.Text, p.Tokens); err != nil {
--- a/message/message.go
+++ b/message/message.go
@@ -19,6 +19,7 @@
 	MethodRenew    = "renew"    // entry and sidecar to control: Renew, Renewed
 	MethodRelease  = "release"  // entry and sidecar to control: Release, Nothing
 	MethodBegin    = "begin"    // entry to control: order.Begin, order.Begun
+	MethodFence    = "fence"    // entry to sidecar: Fence, Fenced
 	MethodFinish   = "finish"   // entry to control: order.Finish, order.Finished
 	MethodReport   = "report"   // sidecar to control: change.Report, Nothing
 	MethodOperate  = "operate"  // control to control: Operate, Operated
@@ -226,6 +227,18 @@
 		Prompt int    `cbor:"7,keyasint"` // tokens of the prompt, with End
 	}
 
+	// Fence asks whether an order was handed over to the plain service, and
+	// has it never be if it wasn't.
+	Fence struct {
+		Order       uint64 `cbor:"1,keyasint"`
+		Incarnation string `cbor:"2,keyasint"` // of the sidecar that was to hand it over
+	}
+
+	// Fenced answers Fence.
+	Fenced struct {
+		Handed bool `cbor:"1,keyasint"`
+	}
+
 	// ServiceCall asks a sidecar to call its plain service.
 	ServiceCall struct {
 		ID          string        `cbor:"1,keyasint"`
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -132,6 +132,21 @@
 	return true
 }
 
+// fence serves message.MethodFence: an order that wasn't handed over never
+// will be, also when its call comes late. Another incarnation can't tell.
+func (s *Sidecar) fence(x *wire.Exchange) {
+	var ask message.Fence
+	if err := x.Decode(&ask); err != nil {
+		x.Fail(err)
+		return
+	}
+	if ask.Incarnation != s.incarnation {
+		x.Fail(fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over"))
+		return
+	}
+	x.Reply(message.Fenced{Handed: !s.hand(ask.Order, time.Now())})
+}
+
 func (s *Sidecar) callService(call message.ServiceCall) (order.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Left)
 	defer cancel()
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -15,6 +15,7 @@
 const (
 	sweepPause = time.Second
 	cancelTime = time.Second
+	signTime   = 300 * time.Millisecond // between signs of life on a quiet answer
 )
 
 type (
@@ -215,9 +216,12 @@
 }
 
 // feed sends an answer from offset on, until it ends, the entry is gone or
-// has come back by another call.
+// has come back by another call. A piece without tokens is a sign of life: one
+// is sent at once, and whenever the engine is quiet.
 func (t *streams) feed(x *wire.Exchange, s *stream, reader, offset int) {
 	next := 0
+	sign := time.NewTimer(0)
+	defer sign.Stop()
 	for {
 		pieces, state := s.after(reader, &next)
 		for _, p := range pieces {
@@ -246,8 +250,17 @@
 		}
 		select {
 		case <-state.wake:
+			continue
 		case <-s.ctx.Done():
 			s.streams.awaitEnd(s)
+			continue
+		case <-sign.C:
+		}
+		sign.Reset(signTime)
+		if err := x.Send(message.Piece{ID: s.work.ID, Offset: s.offset()}); err != nil {
+			t.leave(s, reader)
+			x.End()
+			return
 		}
 	}
 }
@@ -268,6 +281,13 @@
 	return pieces, streamState{wake: s.wake, end: s.end, err: s.err, superseded: s.reader != reader}
 }
 
+// offset returns the offset of the next token.
+func (s *stream) offset() int {
+	s.streams.mu.Lock()
+	defer s.streams.mu.Unlock()
+	return s.tokens
+}
+
 // awaitEnd ends an answer whose time is over and that was never begun.
 func (t *streams) awaitEnd(s *stream) {
 	t.mu.Lock()
--- a/wire/client.go
+++ b/wire/client.go
@@ -9,7 +9,10 @@
 	"endivedeck.example/rank"
 )
 
-const dialTime = 2 * time.Second
+const (
+	dialTime  = 2 * time.Second
+	avoidTime = 10 * time.Second // until an avoided connection is closed
+)
 
 type (
 	// Client makes calls to other processes and shares one connection for
@@ -18,6 +21,7 @@
 		transport Transport
 		mu        rank.Mutex
 		links     map[string]*link
+		avoided   map[Conn]bool // no new calls are made over them
 		closed    bool
 	}
 
@@ -42,6 +46,7 @@
 		transport: transport,
 		mu:        rank.New(rank.Line),
 		links:     map[string]*link{},
+		avoided:   map[Conn]bool{},
 	}
 }
 
@@ -109,13 +114,40 @@
 	}
 }
 
+// Avoid has new calls to address dial anew, because the call's connection may
+// have gone silent. Calls that run over it go on until it is given up.
+// One that isn't silent after all is closed later.
+func (c *Client) Avoid(address string, call *Call) {
+	c.forget(address, call.conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.avoided[call.conn] {
+		return
+	}
+	c.avoided[call.conn] = true
+	time.AfterFunc(avoidTime, func() { c.end(call.conn) })
+}
+
+// end closes a connection that is avoided.
+func (c *Client) end(conn Conn) {
+	c.mu.Lock()
+	delete(c.avoided, conn)
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
 	links := c.links
 	c.links = map[string]*link{}
 	c.closed = true
+	avoided := c.avoided
+	c.avoided = map[Conn]bool{}
 	c.mu.Unlock()
+	for conn := range avoided {
+		_ = conn.Close()
+	}
 	for _, l := range links {
 		<-l.ready
 		if l.conn != nil {
--- a/wire/memory/memory.go
+++ b/wire/memory/memory.go
@@ -231,7 +231,7 @@
 	select {
 	case c.other.streams <- &stream{Conn: far, owner: c.other}:
 		s := &stream{Conn: near, owner: c}
-		context.AfterFunc(connContext{c.done}, s.Cancel)
+		context.AfterFunc(connContext{c.done}, s.drop)
 		return s, nil
 	default:
 		return nil, io.ErrShortBuffer
@@ -241,7 +241,7 @@
 func (c *conn) Accept(ctx context.Context) (wire.Stream, error) {
 	select {
 	case s := <-c.streams:
-		context.AfterFunc(connContext{c.done}, s.Cancel)
+		context.AfterFunc(connContext{c.done}, s.drop)
 		return s, nil
 	case <-c.done:
 		return nil, io.EOF
@@ -257,12 +257,15 @@
 // Close ends both ends, since a closed connection says so to its peer.
 func (c *conn) Close() error {
 	c.giveUp()
-	if !c.silent.Load() && !c.network.cut(c.path) {
+	if !c.quiet() {
 		c.other.giveUp()
 	}
 	return nil
 }
 
+// quiet reports whether what this end sends is swallowed.
+func (c *conn) quiet() bool { return c.silent.Load() || c.network.cut(c.path) }
+
 func (c *conn) giveUp() { c.once.Do(c.end) }
 
 func (c *conn) end() {
@@ -274,7 +277,7 @@
 
 // Write swallows p when the path is cut.
 func (s *stream) Write(p []byte) (int, error) {
-	if s.owner.silent.Load() || s.owner.network.cut(s.owner.path) {
+	if s.owner.quiet() {
 		return len(p), nil
 	}
 	return s.Conn.Write(p)
@@ -282,9 +285,22 @@
 
 // Close can't close one direction of a pipe, so the end of the sending side
 // closes both: the protocol reads to the last reply before it closes.
-func (s *stream) Close() error { return s.Conn.Close() }
+func (s *stream) Close() error {
+	s.Cancel()
+	return nil
+}
+
+// Cancel is seen by this end alone when the path is cut.
+func (s *stream) Cancel() {
+	if s.owner.quiet() {
+		_ = s.Conn.SetDeadline(time.Unix(1, 0))
+		return
+	}
+	s.drop()
+}
 
-func (s *stream) Cancel() { _ = s.Conn.Close() }
+// drop ends the stream with its connection.
+func (s *stream) drop() { _ = s.Conn.Close() }
 
 // connContext makes a connection's end usable with context.AfterFunc.
 type connContext struct{ done <-chan struct{} }
