--- a/control/control.go
+++ b/control/control.go
@@ -289,6 +289,7 @@
 		message.MethodRelease:  wire.HandlerFunc(c.holders.release),
 		message.MethodBegin:    wire.HandlerFunc(c.begin),
 		message.MethodFinish:   wire.HandlerFunc(c.finish),
+		message.MethodEnding:   wire.HandlerFunc(c.ending),
 		message.MethodReport:   wire.HandlerFunc(c.report),
 		message.MethodOperate:  wire.HandlerFunc(c.operate),
 		message.MethodQuorum:   wire.HandlerFunc(c.deliver),
--- a/control/operate.go
+++ b/control/operate.go
@@ -221,6 +221,16 @@
 	c.answerProposal(x, Command{Finish: &finish})
 }
 
+// ending serves message.MethodEnding.
+func (c *Control) ending(x *wire.Exchange) {
+	var ending order.Ending
+	if err := x.Decode(&ending); err != nil {
+		x.Fail(err)
+		return
+	}
+	c.answerProposal(x, Command{Ending: &ending})
+}
+
 // report serves message.MethodReport.
 func (c *Control) report(x *wire.Exchange) {
 	var report change.Report
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,7 @@
 		Report   *change.Report       `cbor:"3,keyasint,omitempty"`
 		Begin    *order.Begin         `cbor:"4,keyasint,omitempty"`
 		Finish   *order.Finish        `cbor:"5,keyasint,omitempty"`
+		Ending   *order.Ending        `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Watcher is told of changes of the state. It is called by the
@@ -50,6 +51,7 @@
 		Contracts *contract.Book `cbor:"1,keyasint"`
 		Changes   *change.Book   `cbor:"2,keyasint"`
 		Orders    []order.Record `cbor:"3,keyasint"`
+		Endings   []order.Ending `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -96,6 +98,9 @@
 		return s.orders.Begin(index, *c.Begin), false
 	case c.Finish != nil:
 		return s.orders.Finish(*c.Finish), false
+	case c.Ending != nil:
+		s.orders.End(*c.Ending)
+		return nil, false
 	}
 	return fault.New(fault.Malformed, fault.No, "an empty command"), false
 }
@@ -104,7 +109,7 @@
 func (s *State) Save() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return wire.Encode(savedState{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List()})
+	return wire.Encode(savedState{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List(), Endings: s.orders.Ended()})
 }
 
 // Restore implements quorum.Machine.
@@ -116,7 +121,7 @@
 	s.mu.Lock()
 	s.contracts = saved.Contracts
 	s.changes = saved.Changes
-	s.orders.Load(saved.Orders)
+	s.orders.Load(saved.Orders, saved.Endings)
 	s.mu.Unlock()
 	if s.watcher != nil {
 		s.watcher.Changed()
@@ -195,5 +200,7 @@
 		c.Begin.At = now
 	case c.Finish != nil:
 		c.Finish.At = now
+	case c.Ending != nil:
+		c.Ending.At = now
 	}
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -26,6 +26,16 @@
 	maxKeyBytes = 255
 )
 
+// What a sidecar says of an order that was lost on the way to it.
+const (
+	fenceUnreached fenceOutcome = iota // nothing yet
+	fenceHanded                        // it was handed over
+	fenceGone                          // another process answers now
+	fenceDone                          // it wasn't and never will be
+)
+
+type fenceOutcome uint8
+
 // handing says what a call of a service is to the record of orders.
 type handing struct {
 	intent uint64 // of an order; 0 for what may be repeated
@@ -162,7 +172,7 @@
 	// The proof that nothing ran frees the key; until that is recorded the caller is told that it isn't known.
 	finish := order.Finish{Key: record.Key, Intent: record.Intent, NotRun: true}
 	if err := d.finish(finish); err != nil {
-		d.settler.add(finish)
+		d.settler.add(finish, nil)
 		return answer, fault.New(fault.Unavailable, fault.Unknown, "it isn't recorded that the order didn't run; ask again with the same key")
 	}
 	return answer, err
@@ -173,7 +183,7 @@
 func (d *Desk) begin(ctx context.Context, c Call, accepted contract.Accepted) (order.Begun, error) {
 	unknown := false // whether the log may hold the attempt
 	begin := order.Begin{
-		Key:     order.Key{Customer: accepted.Contract.Customer, Service: c.Service, Key: c.Key},
+		Key:     keyOf(c, accepted),
 		Digest:  digestOf(c),
 		Attempt: nonce(),
 		Keep:    accepted.Contract.KeepTime(),
@@ -188,7 +198,7 @@
 		if ctx.Err() != nil || fault.From(err).Ran == fault.No || !interval.Wait(ctx, finishPause) {
 			// Begun or not, nothing was handed over, and nothing will be.
 			if unknown {
-				d.settler.add(order.Finish{Key: begin.Key, NotRun: true, Attempt: begin.Attempt})
+				d.settler.add(order.Finish{Key: begin.Key, NotRun: true, Attempt: begin.Attempt}, nil)
 			}
 			return begun, fault.New(fault.Of(err), fault.No, "the order couldn't be recorded: %s", fault.From(err).Text)
 		}
@@ -270,17 +280,25 @@
 }
 
 // fence asks the sidecar that an order was lost on the way to, over another
-// connection, never to hand it over, and reports whether it never will.
-func (d *Desk) fence(ctx context.Context, ticket *fleet.Ticket, intent uint64) bool {
+// connection, never to hand it over.
+func (d *Desk) fence(ctx context.Context, ticket *fleet.Ticket, intent uint64) fenceOutcome {
 	if d.unfenced {
-		return false
+		return fenceHanded
 	}
 	ctx, cancel := context.WithTimeout(ctx, fenceTime)
 	defer cancel()
 	var fenced message.Fenced
 	ask := message.Fence{Order: intent, Incarnation: ticket.Incarnation}
 	err := d.entry.client.Ask(ctx, ticket.Address, message.MethodFence, ask, &fenced)
-	return err == nil && !fenced.Handed
+	switch {
+	case fault.Of(err) == fault.NotFound:
+		return fenceGone
+	case err != nil:
+		return fenceUnreached
+	case fenced.Handed:
+		return fenceHanded
+	}
+	return fenceDone
 }
 
 func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, h handing) (order.Answer, error) {
@@ -305,9 +323,20 @@
 		err = fault.New(fault.Broken, fault.Unknown, "the sidecar gave the answer to another call")
 	}
 	blame := blames(err)
-	if h.intent != 0 && !h.again && fault.Of(err) == fault.Broken && d.fence(ctx, ticket, h.intent) {
-		err = fault.New(fault.Broken, fault.No, "the order was lost on its way to the service")
-		blame = false // the sidecar could be asked
+	if h.intent != 0 && !h.again && fault.Of(err) == fault.Broken {
+		finish := order.Finish{Key: keyOf(c, accepted), Intent: h.intent, NotRun: true}
+		outcome := d.fence(ctx, ticket, h.intent)
+		if outcome == fenceUnreached {
+			d.settler.add(finish, ticket)
+		}
+		finish.Sidecar = ticket.Incarnation
+		if outcome == fenceGone && d.finish(finish) == nil {
+			outcome = fenceDone // it had stopped as planned
+		}
+		if outcome == fenceDone {
+			err = fault.New(fault.Broken, fault.No, "the order was lost on its way to the service")
+			blame = false // the sidecar could be asked
+		}
 	}
 	d.entry.fleet.Done(time.Now(), ticket, 0, blame)
 	return answer.Answer, err
@@ -356,6 +385,10 @@
 	line.WithField("outcome", outcome).Info("call")
 }
 
+func keyOf(c Call, accepted contract.Accepted) order.Key {
+	return order.Key{Customer: accepted.Contract.Customer, Service: c.Service, Key: c.Key}
+}
+
 // digestOf tells orders under one key apart.
 func digestOf(c Call) uint64 {
 	digest := xxhash.New()
--- a/entry/settler.go
+++ b/entry/settler.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"endivedeck.example/fault"
+	"endivedeck.example/fleet"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/order"
@@ -12,22 +14,32 @@
 
 const (
 	settlePause = 500 * time.Millisecond
-	settleTime  = 2 * time.Second // for one answer of control
-	settleMost  = 10_000          // outcomes that wait to be recorded
+	settleTime  = 2 * time.Second // for one answer of control or of a sidecar
+	settleMost  = 10_000          // attempts that wait to be settled
+	settleKeep  = 10 * time.Minute
 )
 
-// settler records, as soon as control can be reached, that attempts of orders
-// didn't run: until then their keys aren't free, although their callers may
-// have been told that nothing ran.
-type settler struct {
-	entry *Entry
-	mu    rank.Mutex
-	list  []order.Finish
-	kick  chan struct{}
-	ended chan struct{}
+type (
+	// settler settles attempts of orders whose callers wait no more: until it
+	// is on record that an attempt didn't run, its key isn't free.
+	settler struct {
+		entry *Entry
+		mu    rank.Mutex
+		list  []*attempt
+		kick  chan struct{}
+		ended chan struct{}
 
-	off bool // nothing is recorded; for a twin
-}
+		off bool // nothing is settled; for a twin
+	}
+
+	// attempt is an attempt to be settled. One that was handed to a sidecar
+	// is asked about first.
+	attempt struct {
+		finish order.Finish
+		ticket *fleet.Ticket
+		since  time.Time
+	}
+)
 
 func newSettler(e *Entry) *settler {
 	return &settler{
@@ -38,14 +50,14 @@
 	}
 }
 
-// add has an outcome recorded. The oldest is given up when there are too many:
-// its key then stays taken for the record's keep-time.
-func (s *settler) add(f order.Finish) {
+// add has it recorded that an attempt didn't run; with a ticket, once its
+// sidecar has said so. The oldest is given up when there are too many.
+func (s *settler) add(f order.Finish, ticket *fleet.Ticket) {
 	if s.off {
 		return
 	}
 	s.mu.Lock()
-	s.list = append(s.list, f)
+	s.list = append(s.list, &attempt{finish: f, ticket: ticket, since: time.Now()})
 	if len(s.list) > settleMost {
 		s.list = s.list[1:]
 	}
@@ -56,7 +68,7 @@
 	}
 }
 
-// run records what was added until ctx is done.
+// run settles what was added until ctx is done.
 func (s *settler) run(ctx context.Context) {
 	defer close(s.ended)
 	for {
@@ -70,57 +82,59 @@
 	}
 }
 
-// settle records what it can and reports whether something is left.
+// settle settles what it can and reports whether something is left.
 func (s *settler) settle(ctx context.Context) bool {
-	for {
-		f, ok := s.first()
-		if !ok {
-			return false
-		}
-		if err := s.record(ctx, f); err != nil {
-			return true
+	s.mu.Lock()
+	list := s.list
+	s.list = nil
+	s.mu.Unlock()
+	var left []*attempt
+	for _, a := range list {
+		if !s.one(ctx, a) && time.Since(a.since) < settleKeep {
+			left = append(left, a)
 		}
-		s.drop(f)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(left, s.list...)
+	return len(s.list) > 0
 }
 
-func (s *settler) record(ctx context.Context, f order.Finish) error {
+// one reports whether nothing is left to be done about an attempt.
+func (s *settler) one(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	var finished order.Finished
-	if err := s.entry.member.Ask(ctx, message.MethodFinish, f, &finished); err != nil {
-		return err
-	}
-	if finished.Error != nil {
-		s.entry.log.WithField("customer", f.Key.Customer).WithField("error", finished.Error.Text).Warn("an attempt couldn't be given up")
+	if a.ticket != nil {
+		switch s.entry.desk.fence(ctx, a.ticket, a.finish.Intent) {
+		case fenceUnreached:
+			return false
+		case fenceHanded:
+			return true // its sidecar records it
+		case fenceGone:
+			a.finish.Sidecar = a.ticket.Incarnation
+		}
+		a.ticket = nil
 	}
-	return nil
-}
-
-func (s *settler) first() (order.Finish, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.list) == 0 {
-		return order.Finish{}, false
+	var finished order.Finished
+	if err := s.entry.member.Ask(ctx, message.MethodFinish, a.finish, &finished); err != nil {
+		return false
 	}
-	return s.list[0], true
-}
-
-func (s *settler) drop(f order.Finish) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.list) > 0 && s.list[0].Key == f.Key {
-		s.list = s.list[1:]
+	if err := fault.Wrap(finished.Error); err != nil {
+		s.entry.log.WithField("customer", a.finish.Key.Customer).WithField("error", err.Error()).Warn("an attempt couldn't be given up")
 	}
+	return true
 }
 
 // drain waits for what is left, but no longer than settleTime.
 func (s *settler) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	for {
-		if _, left := s.first(); !left || !interval.Wait(ctx, settlePause/10) {
-			return
-		}
+	for s.waits() && interval.Wait(ctx, settlePause/10) {
 	}
 }
+
+func (s *settler) waits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.list) > 0
+}
--- a/message/message.go
+++ b/message/message.go
@@ -20,6 +20,7 @@
 	MethodRelease  = "release"  // entry and sidecar to control: Release, Nothing
 	MethodBegin    = "begin"    // entry to control: order.Begin, order.Begun
 	MethodFence    = "fence"    // entry to sidecar: Fence, Fenced
+	MethodEnding   = "ending"   // sidecar to control: order.Ending, Nothing
 	MethodFinish   = "finish"   // entry to control: order.Finish, order.Finished
 	MethodReport   = "report"   // sidecar to control: change.Report, Nothing
 	MethodOperate  = "operate"  // control to control: Operate, Operated
--- a/order/order.go
+++ b/order/order.go
@@ -10,6 +10,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"endivedeck.example/fault"
@@ -26,6 +28,9 @@
 // that its begin, if it comes late, begins nothing.
 const voidTime = time.Minute
 
+// endingTime is how long it is known that a sidecar has stopped as planned.
+const endingTime = time.Hour
+
 type (
 	// State is the state of a record.
 	State uint8
@@ -81,9 +86,18 @@
 		Answer Answer `cbor:"4,keyasint"`
 
 		Attempt string    `cbor:"5,keyasint,omitempty"` // of a NotRun whose Intent isn't known
+		Sidecar string    `cbor:"7,keyasint,omitempty"` // incarnation that was to hand over what NotRun says, as far as its Ending proves it
 		At      time.Time `cbor:"6,keyasint"`           // the leader's time of day
 	}
 
+	// Ending tells that a sidecar has stopped as planned: it has handed over no
+	// order that isn't recorded but the open ones, and never will.
+	Ending struct {
+		Sidecar string    `cbor:"1,keyasint"` // its incarnation
+		Open    []uint64  `cbor:"2,keyasint,omitempty"`
+		At      time.Time `cbor:"3,keyasint"` // the leader's time of day
+	}
+
 	// Finished answers Finish.
 	Finished struct {
 		Error *fault.Error `cbor:"1,keyasint,omitempty"`
@@ -93,13 +107,14 @@
 	// order give the same book. It isn't safe for concurrent use.
 	Book struct {
 		Records map[Key]*Record
+		Endings map[string]Ending // by incarnation
 		expiry  expiry
 	}
 )
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{Records: map[Key]*Record{}}
+	return &Book{Records: map[Key]*Record{}, Endings: map[string]Ending{}}
 }
 
 // Begin carries out the Begin at the given index of the log.
@@ -145,8 +160,28 @@
 	return Finished{}
 }
 
+// End notes that a sidecar has stopped.
+func (b *Book) End(ending Ending) {
+	for name, e := range b.Endings {
+		if ending.At.Sub(e.At) > endingTime {
+			delete(b.Endings, name)
+		}
+	}
+	b.Endings[ending.Sidecar] = ending
+}
+
+// proves reports whether a sidecar's ending proves that an order wasn't handed
+// over.
+func (b *Book) proves(sidecar string, intent uint64) bool {
+	ending, known := b.Endings[sidecar]
+	return known && !slices.Contains(ending.Open, intent)
+}
+
 // void gives up the attempt that began r, or one whose begin hasn't come yet.
 func (b *Book) void(r *Record, finish Finish) Finished {
+	if finish.Sidecar != "" && !b.proves(finish.Sidecar, finish.Intent) {
+		return Finished{Error: &fault.Error{Kind: fault.NotFound, Ran: fault.Unknown, Text: "nobody can tell whether the order was handed over"}}
+	}
 	own := r != nil && (r.Intent == finish.Intent || finish.Attempt != "" && r.Attempt == finish.Attempt)
 	switch {
 	case own && r.State == Done:
@@ -168,8 +203,15 @@
 	return list
 }
 
+// Ended returns all endings in no particular order.
+func (b *Book) Ended() []Ending { return slices.Collect(maps.Values(b.Endings)) }
+
 // Load replaces the book's content.
-func (b *Book) Load(records []Record) {
+func (b *Book) Load(records []Record, endings []Ending) {
+	b.Endings = make(map[string]Ending, len(endings))
+	for _, e := range endings {
+		b.Endings[e.Sidecar] = e
+	}
 	b.Records = make(map[Key]*Record, len(records))
 	b.expiry = nil
 	for i := range records {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -1,12 +1,7 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
-	"net"
-	"net/http"
 	"time"
 
 	"endivedeck.example/fault"
@@ -17,37 +12,20 @@
 )
 
 const (
-	callDialTime  = time.Second
-	maxAnswer     = 8 << 20
-	handedKeep    = 32 * 24 * time.Hour
-	handedMost    = 1 << 17
-	idleCallConns = 64
-	recordTime    = 20 * time.Second
-	recordPause   = 100 * time.Millisecond
+	handedKeep  = 32 * 24 * time.Hour
+	handedMost  = 1 << 17
+	recordTime  = 20 * time.Second
+	recordPause = 100 * time.Millisecond
+	endingTime  = 3 * time.Second // to tell control of the end
+	openMost    = 1000            // orders of unknown outcome that are named then
 )
 
-// newPlainClient is for calls that may be repeated.
-func newPlainClient() *http.Client {
-	dialer := &net.Dialer{Timeout: callDialTime}
-	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleCallConns},
-		CheckRedirect: keepRedirect,
-	}
-}
-
-// newOnceClient is for orders. Its connections aren't used twice: over a used
-// connection that breaks, net/http sends a request that carries an
-// Idempotency-Key again by itself.
-func newOnceClient() *http.Client {
-	dialer := &net.Dialer{Timeout: callDialTime}
-	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		CheckRedirect: keepRedirect,
-	}
+// handed is an order that was handed to the service, or never will be.
+type handed struct {
+	at      time.Time
+	settled bool // it is on record, or certain, what became of it
 }
 
-func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // call serves message.MethodCall.
 func (s *Sidecar) call(x *wire.Exchange) {
 	var call message.ServiceCall
@@ -55,7 +33,7 @@
 		x.Fail(err)
 		return
 	}
-	if s.engine != nil {
+	if s.service == nil {
 		x.Fail(fault.New(fault.NotFound, fault.No, "no plain service stands here"))
 		return
 	}
@@ -68,8 +46,13 @@
 		x.Fail(fault.New(fault.Conflict, fault.Unknown, "the order was handed over already"))
 		return
 	}
-	answer, err := s.callService(call)
+	ctx, cancel := context.WithTimeout(context.Background(), call.Left)
+	defer cancel()
+	answer, err := s.service.Call(ctx, call)
 	if err != nil {
+		if call.Order != 0 && fault.From(err).Ran == fault.No {
+			s.settled(call.Order)
+		}
 		x.Fail(err)
 		return
 	}
@@ -96,6 +79,7 @@
 		var finished order.Finished
 		err := s.member.Ask(ctx, message.MethodFinish, finish, &finished)
 		if err == nil {
+			s.settled(call.Order)
 			return fault.Wrap(finished.Error)
 		}
 		if !interval.Wait(ctx, recordPause) {
@@ -122,16 +106,47 @@
 		return false
 	}
 	if len(s.handed) >= handedMost {
-		for other, at := range s.handed {
-			if now.Sub(at) > handedKeep/2 || len(s.handed) >= handedMost {
+		for other, h := range s.handed {
+			if now.Sub(h.at) > handedKeep/2 || len(s.handed) >= handedMost {
+				s.lost = s.lost || !h.settled
 				delete(s.handed, other)
 			}
 		}
 	}
-	s.handed[intent] = now
+	s.handed[intent] = handed{at: now}
 	return true
 }
 
+// settled notes that it is on record, or certain, what became of an order.
+func (s *Sidecar) settled(intent uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.handed[intent]
+	h.settled = true
+	s.handed[intent] = h
+}
+
+// reportEnding tells control, once nothing runs any more, which orders it
+// can't know the outcome of: all others that were on their way here didn't run.
+func (s *Sidecar) reportEnding(ctx context.Context) {
+	s.mu.Lock()
+	ending := order.Ending{Sidecar: s.incarnation}
+	for intent, h := range s.handed {
+		if !h.settled {
+			ending.Open = append(ending.Open, intent)
+		}
+	}
+	lost := s.lost || len(ending.Open) > openMost
+	s.mu.Unlock()
+	if lost {
+		return // it proves nothing
+	}
+	ctx, cancel := context.WithTimeout(ctx, endingTime)
+	defer cancel()
+	for s.member.Ask(ctx, message.MethodEnding, ending, nil) != nil && interval.Wait(ctx, recordPause) {
+	}
+}
+
 // fence serves message.MethodFence: an order that wasn't handed over never
 // will be, also when its call comes late. Another incarnation can't tell.
 func (s *Sidecar) fence(x *wire.Exchange) {
@@ -144,45 +159,9 @@
 		x.Fail(fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over"))
 		return
 	}
-	x.Reply(message.Fenced{Handed: !s.hand(ask.Order, time.Now())})
-}
-
-func (s *Sidecar) callService(call message.ServiceCall) (order.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.Left)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+s.settings.Service.Address+call.Path, bytes.NewReader(call.Body))
-	if err != nil {
-		return order.Answer{}, fault.New(fault.Malformed, fault.No, "%v", err)
-	}
-	if call.ContentType != "" {
-		r.Header.Set("Content-Type", call.ContentType)
-	}
-	client := s.plain
-	if call.Order != 0 {
-		client = s.once
-		r.Header.Set("Idempotency-Key", call.Key)
-	}
-	answer, err := client.Do(r)
-	if err != nil {
-		return order.Answer{}, callError(err)
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
-		return order.Answer{}, fault.New(fault.Broken, fault.Unknown, "the service's answer broke off or is too large")
-	}
-	return order.Answer{
-		Status:      answer.StatusCode,
-		ContentType: answer.Header.Get("Content-Type"),
-		Body:        body,
-	}, nil
-}
-
-// callError proves that nothing ran only where no connection was made.
-func callError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.New(fault.Unavailable, fault.No, "no connection to the service: %v", err)
+	first := s.hand(ask.Order, time.Now())
+	if first {
+		s.settled(ask.Order)
 	}
-	return fault.New(fault.Broken, fault.Unknown, "the service didn't answer: %v", err)
+	x.Reply(message.Fenced{Handed: !first})
 }
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"endivedeck.example/engine"
@@ -94,22 +93,7 @@
 	busy := s.busy
 	s.mu.Unlock()
 	state := engine.State{Load: message.Load{Running: busy, Capacity: s.settings.Service.Slots}}
-	if s.settings.Service.Health == "" {
-		return state, nil
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.settings.Service.Address+s.settings.Service.Health, nil)
-	if err != nil {
-		return state, err
-	}
-	answer, err := s.plain.Do(r)
-	if err != nil {
-		return state, err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return state, http.ErrNotSupported
-	}
-	return state, nil
+	return state, s.service.Healthy(ctx)
 }
 
 func (p *probe) events(ctx context.Context, caching engine.Caching) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -11,7 +11,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net/http"
 	"sync"
 	"time"
 
@@ -61,6 +60,7 @@
 	ServiceSettings struct {
 		Name    string `json:"name"`
 		Address string `json:"address"`
+		Dialect string `json:"dialect"`
 		Health  string `json:"health"` // path that answers 200 when all is well
 		Slots   int    `json:"slots" range:"1..100000"`
 		Dedupe  bool   `json:"dedupe"` // the service, whichever instance is asked, answers a repeated Idempotency-Key from memory
@@ -81,8 +81,7 @@
 		streams     *streams
 		changes     *changes
 		probe       *probe
-		plain       *http.Client // for calls that may be repeated
-		once        *http.Client // for orders; see newOnceClient
+		service     Service // nil beside a model engine
 		stop        context.CancelFunc
 		running     sync.WaitGroup
 
@@ -97,9 +96,10 @@
 		busy     int // requests at the backend server
 		idle     chan struct{}
 		tally    message.Tally
-		rate     float64              // prompt tokens a second, as observed
-		handed   map[uint64]time.Time // orders by intent -> when they were handed over
+		rate     float64           // prompt tokens a second, as observed
+		handed   map[uint64]handed // orders by intent
 
+		lost     bool // the outcome of some order was forgotten
 		unfenced bool // authority isn't looked at; for a twin
 	}
 )
@@ -113,7 +113,7 @@
 	return Settings{
 		Transport: "quic",
 		Engine:    EngineSettings{Dialect: "lines"},
-		Service:   ServiceSettings{Slots: 64},
+		Service:   ServiceSettings{Dialect: "http", Slots: 64},
 		Resume:    settings.Duration(10 * time.Second),
 		MaxTokens: 32_768,
 	}
@@ -142,11 +142,9 @@
 		log:         host.Log,
 		incarnation: nonce(),
 		client:      wire.NewClient(transport),
-		plain:       newPlainClient(),
-		once:        newOnceClient(),
 		mu:          rank.New(rank.Slot),
 		marks:       map[string]uint64{},
-		handed:      map[uint64]time.Time{},
+		handed:      map[uint64]handed{},
 	}
 	if settings.Engine.Address != "" {
 		dialect, err := engine.Dialects.Find(settings.Engine.Dialect)
@@ -155,6 +153,13 @@
 		}
 		s.engine = dialect(settings.Engine.Address)
 	}
+	if settings.Service.Address != "" {
+		dialect, err := Services.Find(settings.Service.Dialect)
+		if err != nil {
+			return nil, err
+		}
+		s.service = dialect(settings.Service)
+	}
 	listener, err := transport.Listen(settings.Listen)
 	if err != nil {
 		return nil, err
@@ -204,6 +209,9 @@
 	s.member.Nudge()
 	s.grants.push()
 	err := s.awaitIdle(ctx)
+	if err == nil && s.service != nil {
+		s.reportEnding(ctx)
+	}
 	s.member.Stop()
 	s.grants.end()
 	if serverErr := s.server.Stop(ctx); err == nil {
--- a/wire/memory/memory.go
+++ b/wire/memory/memory.go
@@ -275,8 +275,13 @@
 	delete(c.network.conns, c)
 }
 
-// Write swallows p when the path is cut.
+// Write swallows p when the path is cut, until the connection is given up.
 func (s *stream) Write(p []byte) (int, error) {
+	select {
+	case <-s.owner.done:
+		return 0, io.ErrClosedPipe
+	default:
+	}
 	if s.owner.quiet() {
 		return len(p), nil
 	}
