Lend the fleet's unused time at the lowest priority, up to nine tenths

Cause: while one customer flooded, lending ended at 0.45 of the fleet's time, because lent work was treated like the others' own: it waited in the same queues, and as part of the mix it took the engines that are left to long prompts, whose large steps then held up every chat (gaps of 116 ms at p99).

Change: a ticket says whether it takes what others leave unused. Such a request has priority 0 in engines, adds nothing to the mix that the parts follow, and while there are such requests the long prompts' part is planned with 0.6 of an engine's time. Nothing is lent while nobody else asks.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,7 +20,8 @@
 const (
 	shedFrom  = 0.8   // of the slots in use, from where the lowest priority is refused
 	shedStep  = 0.025 // more for each level of priority
-	lendUntil = 0.45  // of the engines' time asked for, from where nobody gets more than their share
+	lendUntil = 0.9   // of the engines' time asked for, from where nobody gets more than their share
+	lendLeast = 0.01  // of the engines' time that others ask for
 
 	workTime     = 5 * time.Second // over which work is averaged
 	defaultRate  = 10_000.0        // prompt tokens a second, where it isn't known
@@ -55,6 +56,8 @@
 
 	// Ticket is an admitted request; give it back with Release.
 	Ticket struct {
+		Lent bool // it takes what others leave unused
+
 		key    key
 		engine bool
 	}
@@ -130,7 +133,8 @@
 	if r.Engine && a.sheds(class, r.Accepted.Contract, p) {
 		return Ticket{}, fault.New(fault.Overloaded, fault.No, "the fleet is full for class %s: %d requests for %d slots", r.Class, p.Used, p.Slots)
 	}
-	if r.Engine && !a.lends(now, r, p) {
+	lends, lent := a.lends(now, r, p)
+	if r.Engine && !lends {
 		return Ticket{}, fault.New(fault.Overloaded, fault.No, "the customer is above its share and the fleet has no more to lend")
 	}
 	if !u.limiter.AllowN(now, 1) {
@@ -143,7 +147,16 @@
 		a.workOf(customer).add(now, spent)
 		a.total.add(now, spent)
 	}
-	return Ticket{key: key{customer, r.Class}, engine: r.Engine}, nil
+	return Ticket{Lent: r.Engine && lent, key: key{customer, r.Class}, engine: r.Engine}, nil
+}
+
+// Priority returns the priority that a request of a class with the given one
+// has in engines: what is lent gives way to everything else.
+func (t Ticket) Priority(own int) int {
+	if t.Lent {
+		return 0
+	}
+	return own
 }
 
 // Release gives back what a request used. Its answer had the given number of
@@ -166,16 +179,19 @@
 }
 
 // lends decides by the engines' time that is asked for: what others leave
-// unused is lent, until the fleet is half in use; from there a customer gets
-// its share and no more, so that nobody takes from another's.
-func (a *Admission) lends(now time.Time, r Request, p Pressure) bool {
+// unused is lent, until the fleet is nearly in use; from there a customer gets
+// its share and no more. What is lent gives way to everything else, in engines
+// and in routing, so that nobody takes from another's share. While nobody else
+// asks for anything, nothing is lent.
+func (a *Admission) lends(now time.Time, r Request, p Pressure) (lends, lent bool) {
 	if p.Engines == 0 {
-		return true
+		return true, false
 	}
 	fleet := float64(p.Engines) / float64(max(1, a.split.Entries))
 	total := a.total.now(now) / fleet
 	mine := a.workOf(r.Accepted.Contract.Customer).now(now) / fleet
-	return total < lendUntil || mine < r.Accepted.Contract.Share
+	above := mine >= r.Accepted.Contract.Share
+	return total < lendUntil || !above, above && total-mine > lendLeast
 }
 
 func (a *Admission) workOf(customer string) *work {
--- a/replay/request.go
+++ b/replay/request.go
@@ -76,6 +76,8 @@
 		return
 	}
 	q.admitted = ticket
+	q.route.Lent = ticket.Lent
+	q.route.Priority = ticket.Priority(q.route.Priority)
 	r.after(q.class.Whole.Std(), q.late)
 	q.try()
 }
@@ -149,7 +151,7 @@
 		Prompt:   q.event.Tokens(),
 		Given:    q.given,
 		Answer:   q.event.Answer,
-		Priority: q.class.Priority,
+		Priority: q.route.Priority,
 	}
 	q.engine.add(q, q.sequence)
 }
--- a/routing/parted.go
+++ b/routing/parted.go
@@ -15,6 +15,7 @@
 
 const (
 	heavyPart  = 0.24                   // of an engine's time that is planned with for long prompts
+	heavyMost  = 0.6                    // while others' unused time is lent
 	lightPart  = 0.70                   // and for the rest
 	mixTime    = 8 * time.Second        // over which the mix is averaged
 	partCost   = 700 * time.Millisecond // against a candidate of the other part
@@ -33,6 +34,7 @@
 	last     time.Time
 	heavy    float64 // engines' time per second that long prompts take
 	light    float64 // engines' time per second that the rest takes
+	lent     float64 // engines' time per second that is lent
 	order    []int
 }
 
@@ -112,11 +114,16 @@
 		kept := math.Exp(-r.At.Sub(p.last).Seconds() / mixTime.Seconds())
 		p.heavy *= kept
 		p.light *= kept
+		p.lent *= kept
 	}
 	p.last = r.At
 	todo := max(0, r.Prompt-c.Hit)
 	work := float64(todo) / rateOf(c) / mixTime.Seconds()
 	heavy := todo >= HeavyPrompt
+	if r.Lent {
+		p.lent += work + float64(r.Answer)*c.TokenTime().Seconds()/mixTime.Seconds()
+		return heavy
+	}
 	if heavy {
 		p.heavy += work
 	} else {
@@ -132,8 +139,9 @@
 	entries := float64(max(1, r.Entries))
 	scale := float64(len(looked)) / float64(len(candidates))
 	need := p.heavy * entries / heavyPart
-	rest := math.Ceil(p.light * entries / lightPart)
-	spare := max(0, float64(len(candidates))-rest)
-	n := int(math.Ceil(min(need, spare) * scale))
+	spare := max(0, float64(len(candidates))-math.Ceil(p.light*entries/lightPart))
+	left := max(0, float64(len(candidates))-math.Ceil((p.light+p.lent)*entries/lightPart))
+	least := p.heavy * entries / heavyMost
+	n := int(math.Ceil(min(need, spare, max(least, left)) * scale))
 	return max(0, min(n, len(looked)-1))
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -41,6 +41,7 @@
 		Prompt   int    // tokens
 		Answer   int    // tokens expected
 		Priority int
+		Lent     bool          // it takes what other customers leave unused
 		Limit    time.Duration // on the first token; 0 for none
 		At       time.Time
 		Entries  int // that the fleet's work is spread over; 0 where it isn't known
