Bound the sending of a request by the caller's time

The client bound only the wait for the reply by the caller's time; a peer that accepts a connection and reads nothing held the request until the connection was given up, and in the network in memory a connection that nobody accepted never was.

Change: the stream is given up when the caller's time ends, also while the request is sent; a listener in memory that closes refuses what it hasn't accepted. TestOpenInTime failed before (deadlock) and passes.

--- a/wire/client.go
+++ b/wire/client.go
@@ -87,6 +87,8 @@
 		c.forget(address, conn)
 		return nil, fault.New(fault.Unavailable, fault.No, "opening a stream to %s: %v", address, err)
 	}
+	stop := context.AfterFunc(ctx, stream.Cancel) // the other end may read nothing
+	defer stop()
 	if err := WriteFrame(stream, request{Method: method, Body: body}); err != nil {
 		stream.Cancel()
 		return nil, fault.New(fault.Broken, fault.Unknown, "sending %s to %s: %v", method, address, err)
--- a/wire/memory/memory.go
+++ b/wire/memory/memory.go
@@ -212,13 +212,22 @@
 	return nil
 }
 
+// end refuses what was dialled and not accepted.
 func (l *listener) end() {
 	close(l.closed)
 	l.network.mu.Lock()
-	defer l.network.mu.Unlock()
 	if l.network.listeners[l.name] == l {
 		delete(l.network.listeners, l.name)
 	}
+	l.network.mu.Unlock()
+	for {
+		select {
+		case c := <-l.conns:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
 }
 
 func (c *conn) Open(ctx context.Context) (wire.Stream, error) {
