--- a/command/load.go
+++ b/command/load.go
@@ -128,7 +128,7 @@
 		Incarnation: h.name,
 		Kind:        c.kind,
 		Control:     addresses,
-		Client:      wire.NewClient(quicline.New(chain)),
+		Client:      wire.NewClient(quicline.New(chain, logrus.NewEntry(logrus.New()))),
 		Holder:      h,
 		Log:         logrus.NewEntry(logrus.New()),
 	})
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -70,8 +70,9 @@
 }
 
 // Server returns the TLS configuration of an accepting end that speaks
-// protocol and asks the other end for its certificate.
-func (c *Chain) Server(protocol string) *tls.Config {
+// protocol. It accepts a peer whose certificate is in force and signed by the
+// authority; refused is told of every other, by the name that it claims.
+func (c *Chain) Server(protocol string, refused func(name string, reason error)) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -81,12 +82,37 @@
 				NextProtos:   []string{protocol},
 				Certificates: []tls.Certificate{*pair},
 				ClientCAs:    roots,
-				ClientAuth:   tls.RequireAndVerifyClientCert,
+				// Checked below, where a refusal can be told of.
+				ClientAuth: tls.RequestClientCert,
+				VerifyConnection: func(state tls.ConnectionState) error {
+					name, err := verify(state.PeerCertificates, roots)
+					if err != nil {
+						refused(name, err)
+					}
+					return err
+				},
 			}, nil
 		},
 	}
 }
 
+// verify returns the name that a peer claims, and why it isn't accepted.
+func verify(chain []*x509.Certificate, roots *x509.CertPool) (string, error) {
+	if len(chain) == 0 {
+		return "", fault.New(fault.Unauthenticated, fault.No, "the peer has no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: between,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	return chain[0].Subject.CommonName, err
+}
+
 // Client returns the TLS configuration of a dialling end.
 func (c *Chain) Client(protocol string) *tls.Config {
 	pair, roots := c.current()
@@ -99,6 +125,12 @@
 	}
 }
 
+// Serial returns the serial number of the certificate in force.
+func (c *Chain) Serial() string {
+	pair, _ := c.current()
+	return pair.Leaf.SerialNumber.String()
+}
+
 // current returns the keys in force, read anew when the files have changed.
 // Files that can't be read leave the earlier keys in force.
 func (c *Chain) current() (*tls.Certificate, *x509.CertPool) {
--- a/wire/quicline/quicline.go
+++ b/wire/quicline/quicline.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
 
 	"endivedeck.example/fault"
 	"endivedeck.example/kernel"
@@ -36,6 +37,7 @@
 	// Transport is QUIC with the keys of one process.
 	Transport struct {
 		chain *keys.Chain
+		log   *logrus.Entry
 	}
 
 	listener struct{ quic *quic.Listener }
@@ -60,18 +62,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(chain), nil
+	return New(chain, host.Log), nil
 }
 
 // New returns a transport that proves itself with chain and accepts peers
-// whose certificate the same authority signed.
-func New(chain *keys.Chain) *Transport {
-	return &Transport{chain: chain}
+// whose certificate the same authority signed. Refused peers are logged.
+func New(chain *keys.Chain, log *logrus.Entry) *Transport {
+	return &Transport{chain: chain, log: log}
+}
+
+func (t *Transport) refused(name string, reason error) {
+	t.log.WithField("peer", name).WithField("error", reason.Error()).Warn("a peer was refused")
 }
 
 // Listen implements wire.Transport.
 func (t *Transport) Listen(address string) (wire.Listener, error) {
-	l, err := quic.ListenAddr(address, t.chain.Server(protocol), config())
+	l, err := quic.ListenAddr(address, t.chain.Server(protocol, t.refused), config())
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, fault.No, "listening on %s: %v", address, err)
 	}
