--- a/sidecar/changes.go
+++ b/sidecar/changes.go
@@ -87,6 +87,9 @@
 }
 
 func (c *changes) drain(ctx context.Context) error {
+	if c.sidecar.hasty {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, changePause)
 	defer cancel()
 	return c.sidecar.awaitIdle(ctx)
--- a/sidecar/fence_test.go
+++ b/sidecar/fence_test.go
@@ -26,7 +26,11 @@
 	"endivedeck.example/wire/memory"
 )
 
-const loadTime = 3 * time.Second
+const (
+	loadTime     = 3 * time.Second
+	answerPieces = 20
+	piecePause   = 100 * time.Millisecond
+)
 
 type (
 	// fakeEngine writes down the orders that it takes.
@@ -81,8 +85,22 @@
 	fmt.Fprintf(&s.text, format+"\n", args...)
 }
 
-func (e *fakeEngine) Generate(context.Context, message.Work, func(message.Piece) error) error {
-	return fault.New(fault.Unavailable, fault.No, "not in this test")
+// Generate gives an answer of answerPieces, which an order breaks off.
+func (e *fakeEngine) Generate(ctx context.Context, work message.Work, give func(message.Piece) error) error {
+	for i := range answerPieces {
+		interval.Wait(ctx, piecePause)
+		if e.state().Changing {
+			e.seen.note("engine: drops an answer")
+			return fault.New(fault.Broken, fault.Unknown, "the engine changes")
+		}
+		if i == answerPieces-1 {
+			e.seen.note("engine: ends an answer")
+		}
+		if err := give(message.Piece{ID: work.ID, Offset: i, Tokens: 1, Text: "word ", End: i == answerPieces-1}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (e *fakeEngine) Cancel(context.Context, string) error { return nil }
@@ -290,6 +308,11 @@
 			b.sidecar.unfenced = true
 			pausedBeforeItWrites(b)
 		}},
+		{"answers_run", changeWhileAnswersRun},
+		{"answers_run_twin", func(b *bed) {
+			b.sidecar.hasty = true
+			changeWhileAnswersRun(b)
+		}},
 		{"crash", func(b *bed) {
 			b.engine.crash = true
 			b.control.send(3, 10, change.Replace)
@@ -328,6 +351,43 @@
 	}
 }
 
+// changeWhileAnswersRun announces a change half a second into an answer.
+func changeWhileAnswersRun(b *bed) {
+	b.wait(2 * time.Second)
+	ended := make(chan string)
+	ask := &asking{bed: b, ended: ended}
+	go ask.run()
+	b.wait(500 * time.Millisecond)
+	b.control.send(3, 10, change.Replace)
+	outcome := <-ended
+	b.wait(10 * time.Second)
+	b.seen.note("the answer that ran: %s", outcome)
+}
+
+// asking is one answer on its way to a reader.
+type asking struct {
+	bed   *bed
+	ended chan<- string
+}
+
+func (a *asking) run() {
+	client := wire.NewClient(a.bed.network.Transport("entry-1"))
+	defer client.Close()
+	work := message.Work{ID: "req-1", Customer: "crews", Model: "m", Prompt: "which bank", Most: answerPieces, Left: time.Minute}
+	call, err := client.Open(context.Background(), "engine-1", message.MethodWork, work)
+	tokens := 0
+	for err == nil {
+		var p message.Piece
+		err = call.Receive(&p)
+		tokens += p.Tokens
+		if p.End {
+			a.ended <- fmt.Sprintf("whole, %d tokens", tokens)
+			return
+		}
+	}
+	a.ended <- fmt.Sprintf("cut: %v", err)
+}
+
 // pausedBeforeItWrites has the sidecar look at the engine, then pause for
 // longer than its lease, while control goes on without it.
 func pausedBeforeItWrites(b *bed) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -100,6 +100,7 @@
 		handed   map[uint64]handed // orders by intent
 
 		lost     bool // the outcome of some order was forgotten
+		hasty    bool // changes don't wait for what runs; for a twin
 		unfenced bool // authority isn't looked at; for a twin
 	}
 )
