Add the twins of the operators' race

Cause: that racing operators under equal numbers, and a change that is sent again, come out right had a test and no twin.

Seen: as it is, one of two racers is refused with the version that stands, and the resent change gets its first answer. Twins: the second racer overwrites the first; the resent change is refused although it was accepted. No mechanism changed.

--- a/contract/book.go
+++ b/contract/book.go
@@ -44,6 +44,9 @@
 		Contracts map[string]Accepted   `cbor:"2,keyasint"` // by customer
 		Requests  map[string]Remembered `cbor:"3,keyasint"` // by request id
 		Forgotten time.Time             `cbor:"4,keyasint"` // when requests were last forgotten
+
+		unversioned bool // a change may replace any version; for a twin
+		forgetful   bool // requests aren't remembered; for a twin
 	}
 )
 
@@ -63,7 +66,7 @@
 		return refused(fault.Conflict, "the request id was used for another change", earlier.Outcome.Current)
 	}
 	outcome := b.change(index, change)
-	if change.Request != "" {
+	if change.Request != "" && !b.forgetful {
 		b.Requests[change.Request] = Remembered{Outcome: outcome, Digest: digest, At: change.At}
 	}
 	return outcome
@@ -71,7 +74,7 @@
 
 func (b *Book) change(index uint64, change Change) Outcome {
 	current := b.Contracts[change.Customer]
-	if change.Replaces != current.Version {
+	if change.Replaces != current.Version && !b.unversioned {
 		return refused(fault.Conflict, "the change doesn't replace the version that stands", current)
 	}
 	next := Accepted{Contract: current.Contract, Version: current.Version + 1, Revision: index, Retired: true}
