Never hand an order over under an intent that may be void

Cause: read as a newcomer: where a stopped sidecar's ending proves that an order was lost, its record is void at once, and the entry then tried the next backend server under the same intent. The order ran, its outcome couldn't be recorded, and the same key sent again ran it a second time. Two ledgers, calls lost before a sidecar that was restarted as planned, each key sent twice: each ran up to 2 times.

Ruled out: a sidecar that checks the record before it hands over (a call to control for each order).

Change: an order that is proved lost is never tried elsewhere under its intent; it is begun anew.

--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -29,6 +29,7 @@
 	answerPieces = 10
 	piecePause   = 100 * time.Millisecond
 	ledgerName   = "plant-ledger-1"
+	secondLedger = "plant-ledger-2"
 	ledgerKind   = "plant-ledger"
 	wholeTime    = 5 * time.Second
 	grantPause   = time.Second
@@ -52,11 +53,12 @@
 
 	// fakeControl keeps a book of orders and answers by what the test sets.
 	fakeControl struct {
-		mu    sync.Mutex
-		book  *order.Book
-		index uint64
-		lost  bool // begins are carried out, and their answers lost
-		away  bool // it doesn't lead
+		mu      sync.Mutex
+		book    *order.Book
+		ledgers []string
+		index   uint64
+		lost    bool // begins are carried out, and their answers lost
+		away    bool // it doesn't lead
 	}
 
 	// fakeEngine stands for an engine and its sidecar: it gives answers of
@@ -74,18 +76,25 @@
 		handed  map[uint64]bool // intents that were handed over, or never will be
 		fail    error           // of the next call
 		forget  func()          // called once the next call has run
+		gone    bool            // another incarnation answers
 	}
 )
 
 // inBed runs a test with one entry under the test's clock.
 func inBed(t *testing.T, test func(b *bed)) {
+	inBedWith(t, []string{ledgerName}, test)
+}
+
+func inBedWith(t *testing.T, ledgers []string, test func(b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memory.New()
 		workers := pool.New(64, 1024)
-		control := &fakeControl{book: order.NewBook()}
+		control := &fakeControl{book: order.NewBook(), ledgers: ledgers}
 		b := &bed{t: t, network: network, control: control, sidecar: &fakeSidecar{control: control, ran: map[string]int{}, handed: map[uint64]bool{}}}
 		b.serve("control-1", workers, b.control.handlers())
-		b.serve(ledgerName, workers, b.sidecar.handlers())
+		for _, name := range ledgers {
+			b.serve(name, workers, b.sidecar.handlers())
+		}
 		for _, name := range engineNames {
 			e := &fakeEngine{}
 			b.engines = append(b.engines, e)
@@ -183,10 +192,13 @@
 			Keys:     []string{contract.HashKey("key of the crews")},
 		}}},
 		Fleet: &message.Fleet{
-			Version:  message.FleetVersion{Term: 1, Version: 1},
-			Backends: []message.Backend{{Name: ledgerName, Address: ledgerName, Kind: message.KindService, Service: ledgerKind}},
+			Version: message.FleetVersion{Term: 1, Version: 1},
 		},
 	}
+	for _, name := range f.ledgers {
+		b := message.Backend{Name: name, Address: name, Kind: message.KindService, Service: ledgerKind}
+		answer.Fleet.Backends = append(answer.Fleet.Backends, b)
+	}
 	for _, name := range engineNames {
 		b := message.Backend{Name: name, Address: name, Kind: message.KindEngine, Models: []string{modelName}}
 		answer.Fleet.Backends = append(answer.Fleet.Backends, b)
@@ -361,6 +373,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.gone {
+		x.Fail(fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over"))
+		return
+	}
 	handed := f.handed[ask.Order]
 	f.handed[ask.Order] = true
 	x.Reply(message.Fenced{Handed: handed})
--- a/entry/call.go
+++ b/entry/call.go
@@ -22,20 +22,9 @@
 	finishPause = 100 * time.Millisecond
 	openPause   = 200 * time.Millisecond
 	openTime    = 3 * time.Second // to wait for an earlier attempt
-	fenceTime   = 2 * time.Second // to learn whether an order was handed over
 	maxKeyBytes = 255
 )
 
-// What a sidecar says of an order that was lost on the way to it.
-const (
-	fenceUnreached fenceOutcome = iota // nothing yet
-	fenceHanded                        // it was handed over
-	fenceGone                          // another process answers now
-	fenceDone                          // it wasn't and never will be
-)
-
-type fenceOutcome uint8
-
 // handing says what a call of a service is to the record of orders.
 type handing struct {
 	intent uint64 // of an order; 0 for what may be repeated
@@ -263,7 +252,8 @@
 		}
 		tried[ticket.Name] = true
 		answer, err := d.hand(ctx, &ticket, c, accepted, handing{intent: intent})
-		if err == nil || fault.From(err).Ran != fault.No {
+		// One that was lost may be void on record by now: it is begun anew, never handed over under this intent.
+		if err == nil || fault.From(err).Ran != fault.No || fault.Of(err) == fault.Broken {
 			return answer, err
 		}
 		last = err
@@ -279,28 +269,6 @@
 	return order.Answer{}, last
 }
 
-// fence asks the sidecar that an order was lost on the way to, over another
-// connection, never to hand it over.
-func (d *Desk) fence(ctx context.Context, ticket *fleet.Ticket, intent uint64) fenceOutcome {
-	if d.unfenced {
-		return fenceHanded
-	}
-	ctx, cancel := context.WithTimeout(ctx, fenceTime)
-	defer cancel()
-	var fenced message.Fenced
-	ask := message.Fence{Order: intent, Incarnation: ticket.Incarnation}
-	err := d.entry.client.Ask(ctx, ticket.Address, message.MethodFence, ask, &fenced)
-	switch {
-	case fault.Of(err) == fault.NotFound:
-		return fenceGone
-	case err != nil:
-		return fenceUnreached
-	case fenced.Handed:
-		return fenceHanded
-	}
-	return fenceDone
-}
-
 func (d *Desk) hand(ctx context.Context, ticket *fleet.Ticket, c Call, accepted contract.Accepted, h handing) (order.Answer, error) {
 	left, _ := ctx.Deadline()
 	call := message.ServiceCall{
@@ -323,20 +291,9 @@
 		err = fault.New(fault.Broken, fault.Unknown, "the sidecar gave the answer to another call")
 	}
 	blame := blames(err)
-	if h.intent != 0 && !h.again && fault.Of(err) == fault.Broken {
-		finish := order.Finish{Key: keyOf(c, accepted), Intent: h.intent, NotRun: true}
-		outcome := d.fence(ctx, ticket, h.intent)
-		if outcome == fenceUnreached {
-			d.settler.add(finish, ticket)
-		}
-		finish.Sidecar = ticket.Incarnation
-		if outcome == fenceGone && d.finish(finish) == nil {
-			outcome = fenceDone // it had stopped as planned
-		}
-		if outcome == fenceDone {
-			err = fault.New(fault.Broken, fault.No, "the order was lost on its way to the service")
-			blame = false // the sidecar could be asked
-		}
+	if h.intent != 0 && !h.again && fault.Of(err) == fault.Broken && d.proveLost(ctx, ticket, keyOf(c, accepted), h.intent) {
+		err = fault.New(fault.Broken, fault.No, "the order was lost on its way to the service")
+		blame = false // the sidecar could be asked
 	}
 	d.entry.fleet.Done(time.Now(), ticket, 0, blame)
 	return answer.Answer, err
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -9,6 +9,7 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
 	"endivedeck.example/interval"
+	"endivedeck.example/order"
 )
 
 // TestLostCall loses an order on its way to the sidecar, and another's answer
@@ -23,6 +24,24 @@
 		b.sidecar.forget = forget
 		note("the answer lost: %s, ran %d times", b.order("key-2"), b.sidecar.ran["key-2"])
 	})
+	inBedWith(t, []string{ledgerName, secondLedger}, func(b *bed) {
+		// The sidecars have been restarted as planned, and control knows.
+		b.sidecar.gone = true
+		b.control.book.End(order.Ending{Sidecar: "1", At: time.Now()})
+		done, most := 0, 0
+		for i := range 10 {
+			key := fmt.Sprintf("key-%d", i)
+			b.network.Forget("entry-1", ledgerName)
+			for range 2 {
+				if b.order(key) == "done" {
+					done++
+				}
+			}
+			most = max(most, b.sidecar.ran[key])
+			interval.Wait(b.t.Context(), 3*time.Second)
+		}
+		note("calls lost, their sidecar restarted, each sent twice: %d of 20 done, each ran at most %d times", done, most)
+	})
 	inBed(t, func(b *bed) {
 		b.entry.desk.unfenced = true
 		b.network.Forget("entry-1", ledgerName)
