Send done orders once more in the soak

Cause: the soak stopped at done, so it couldn't see an order that runs a second time when its key comes again.

Change: each order that was done is sent once more through another entry, and must have run once.

--- a/entry/soak_faults_test.go
+++ b/entry/soak_faults_test.go
@@ -216,8 +216,7 @@
 		d := c.desk(i + try)
 		caller, err := d.Identify("key of the crews")
 		if err == nil {
-			call := Call{ID: nonce(), Caller: caller, Class: "orders", Service: ledgerKind, Method: "POST", Path: "/orders", Body: []byte(key), Key: key}
-			_, err = d.Do(context.Background(), call)
+			_, err = d.Do(context.Background(), soakCall(caller, key))
 		}
 		ran := c.soak.ledger.runs(key)
 		if ran > 1 {
@@ -228,6 +227,7 @@
 			if ran != 1 {
 				s.note(&s.wrong, "order %s was answered as done and ran %d times", key, ran)
 			}
+			c.resend(i+try+1, key)
 			return
 		}
 		onlyNo = onlyNo && isNo(err)
@@ -243,6 +243,33 @@
 	s.note(&s.unknown, "order %s, ran %d times: %s", key, c.soak.ledger.runs(key), strings.Join(answers[:min(4, len(answers))], "; "))
 }
 
+// resend sends an order that was done once more, through another entry: it
+// doesn't run again.
+func (c *soakCrew) resend(i int, key string) {
+	d := c.desk(i)
+	caller, err := d.Identify("key of the crews")
+	if err == nil {
+		_, _ = d.Do(context.Background(), soakCall(caller, key))
+	}
+	if ran := c.soak.ledger.runs(key); ran != 1 {
+		s := &c.soak.score
+		s.note(&s.doubled, "order %s was done, sent again, and ran %d times", key, ran)
+	}
+}
+
+func soakCall(caller Caller, key string) Call {
+	return Call{
+		ID:      nonce(),
+		Caller:  caller,
+		Class:   "orders",
+		Service: ledgerKind,
+		Method:  "POST",
+		Path:    "/orders",
+		Body:    []byte(key),
+		Key:     key,
+	}
+}
+
 func soakAnswer(prompt string, from int) string {
 	var text strings.Builder
 	for i := from; i < soakTokens; i++ {
