--- a/cmd/endivedeck/bench_test.go
+++ b/cmd/endivedeck/bench_test.go
@@ -13,6 +13,7 @@
 
 	"endivedeck.example/control"
 	"endivedeck.example/demo"
+	"endivedeck.example/deployment"
 	"endivedeck.example/fault"
 	"endivedeck.example/interval"
 )
@@ -94,7 +95,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.metrics["load"] = address("tcp")
+	s.metrics["load"] = deployment.FreeAddress("tcp")
 	s.start("load", "load", "-holders", strconv.Itoa(count), "-kind", kind, "-control", strings.Join(controls, ","),
 		"-authority", files.Authority, "-certificate", files.Certificate, "-key", files.Key, "-metrics", s.metrics["load"])
 	s.await("holders", func() bool {
--- a/cmd/endivedeck/process_test.go
+++ b/cmd/endivedeck/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/control"
 	"endivedeck.example/demo"
+	"endivedeck.example/deployment"
 	"endivedeck.example/fault"
 	"endivedeck.example/interval"
 	"endivedeck.example/keys"
@@ -116,8 +116,8 @@
 	}
 	s.authority = authority
 	for i := range 3 {
-		s.founders = append(s.founders, control.Founder{Instance: fmt.Sprintf("control-%d", i+1), Address: address("udp")})
-		s.operators = append(s.operators, address("tcp"))
+		s.founders = append(s.founders, control.Founder{Instance: fmt.Sprintf("control-%d", i+1), Address: deployment.FreeAddress("udp")})
+		s.operators = append(s.operators, deployment.FreeAddress("tcp"))
 	}
 	for i := range s.founders {
 		s.startControl(i)
@@ -129,7 +129,7 @@
 		s.startLedger(i)
 	}
 	for i := range min(2, engines+ledgers) {
-		s.entries = append(s.entries, address("tcp"))
+		s.entries = append(s.entries, deployment.FreeAddress("tcp"))
 		s.startEntry(i)
 	}
 	s.awaitBackends(engines + ledgers)
@@ -155,9 +155,9 @@
 
 func (s *site) startEngine(i int) {
 	name := fmt.Sprintf("%s-%d", modelName, i+1)
-	engine := address("tcp")
+	engine := deployment.FreeAddress("tcp")
 	s.start(name+"-engine", "standin", "-listen", engine, "-step", s.step, "-piece-tokens", "16", "-load-time", "300ms", "-fencing", "-cross", "0.1", "engine")
-	listen := address("udp")
+	listen := deployment.FreeAddress("udp")
 	s.startRole("sidecar", name, i, map[string]any{
 		"listen":    listen,
 		"advertise": s.relayUDP(listen),
@@ -168,14 +168,14 @@
 
 func (s *site) startLedger(i int) {
 	name := fmt.Sprintf("%s-%d", serviceName, i+1)
-	ledger := address("tcp")
+	ledger := deployment.FreeAddress("tcp")
 	args := append([]string{"standin", "-listen", ledger}, s.ledger...)
 	if s.dedupe {
 		args = append(args, "-dedupe")
 	}
 	s.start(name+"-ledger", append(args, "ledger")...)
 	s.startRole("sidecar", name, i, map[string]any{
-		"listen":  address("udp"),
+		"listen":  deployment.FreeAddress("udp"),
 		"control": s.controls(),
 		"service": map[string]any{"name": serviceName, "address": ledger, "health": "/healthz", "dedupe": s.dedupe},
 	})
@@ -198,7 +198,7 @@
 	}
 	metrics := ""
 	if s.metrics != nil {
-		metrics = address("tcp")
+		metrics = deployment.FreeAddress("tcp")
 		s.metrics[instance] = metrics
 	}
 	text, err := json.MarshalIndent(map[string]any{
@@ -436,24 +436,6 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-// address returns a loopback address that was free a moment ago.
-func address(network string) string {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		defer conn.Close()
-		return conn.LocalAddr().String()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func getJSON(ctx context.Context, target string, value any) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"path/filepath"
 	"time"
@@ -132,7 +131,7 @@
 
 func (d *Deployment) startControl(ctx context.Context) error {
 	for i := range d.Plan.Control {
-		founder := control.Founder{Instance: d.name("control", i), Address: freeAddress()}
+		founder := control.Founder{Instance: d.name("control", i), Address: FreeAddress("udp")}
 		d.founders = append(d.founders, founder)
 		d.addresses = append(d.addresses, founder.Address)
 	}
@@ -192,7 +191,7 @@
 
 func (d *Deployment) sidecarSettings() sidecar.Settings {
 	section := sidecar.DefaultSettings()
-	section.Listen = freeAddress()
+	section.Listen = FreeAddress("udp")
 	section.Control = d.addresses
 	return section
 }
@@ -291,14 +290,3 @@
 	defer answer.Body.Close()
 	return answer.StatusCode == http.StatusOK
 }
-
-// freeAddress returns a loopback address that was free a moment ago, over UDP,
-// which the system's own processes listen on.
-func freeAddress() string {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String()
-}
