--- a/cmd/endivedeck/failure_test.go
+++ b/cmd/endivedeck/failure_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endivedeck.example/change"
+	"endivedeck.example/deployment"
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
 	"endivedeck.example/interval"
@@ -86,7 +87,7 @@
 func (c *crew) entry(i int) int {
 	for k := range c.site.entries {
 		e := (i + k) % len(c.site.entries)
-		if healthy(c.site.ctx, c.site.entries[e]) {
+		if deployment.Healthy(c.site.ctx, c.site.entries[e]) {
 			return e
 		}
 	}
--- a/cmd/endivedeck/process_test.go
+++ b/cmd/endivedeck/process_test.go
@@ -341,7 +341,7 @@
 		return operated.Status != nil && len(operated.Status.Backends) == count
 	})
 	for _, entry := range s.entries {
-		s.await("entry", func() bool { return healthy(s.ctx, entry) })
+		s.await("entry", func() bool { return deployment.Healthy(s.ctx, entry) })
 	}
 }
 
@@ -423,19 +423,6 @@
 	}
 }
 
-func healthy(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
-	if err != nil {
-		return false
-	}
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
-}
-
 func getJSON(ctx context.Context, target string, value any) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -12,11 +12,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"endivedeck.example/change"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
 	"endivedeck.example/journal"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
+	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/roles"
 	"endivedeck.example/wire"
@@ -287,10 +289,10 @@
 	return map[string]wire.Handler{
 		message.MethodRenew:    wire.HandlerFunc(c.holders.renew),
 		message.MethodRelease:  wire.HandlerFunc(c.holders.release),
-		message.MethodBegin:    wire.HandlerFunc(c.begin),
-		message.MethodFinish:   wire.HandlerFunc(c.finish),
-		message.MethodEnding:   wire.HandlerFunc(c.ending),
-		message.MethodReport:   wire.HandlerFunc(c.report),
+		message.MethodBegin:    proposal(c, func(in *order.Begin) Command { return Command{Begin: in} }),
+		message.MethodFinish:   proposal(c, func(in *order.Finish) Command { return Command{Finish: in} }),
+		message.MethodEnding:   proposal(c, func(in *order.Ending) Command { return Command{Ending: in} }),
+		message.MethodReport:   proposal(c, func(in *change.Report) Command { return Command{Report: in} }),
 		message.MethodOperate:  wire.HandlerFunc(c.operate),
 		message.MethodQuorum:   wire.HandlerFunc(c.deliver),
 		message.MethodFounding: wire.HandlerFunc(c.founding.answer),
--- a/control/leaderless_test.go
+++ b/control/leaderless_test.go
@@ -13,15 +13,9 @@
 func TestLeaderless(t *testing.T) {
 	const most = 2 * time.Second
 	failures := map[string]func(b *bed, leader string){
-		"killed":  func(b *bed, leader string) { b.kill(leader) },
-		"stopped": func(b *bed, leader string) { b.stop(leader) },
-		"silently cut off": func(b *bed, leader string) {
-			for _, name := range b.names() {
-				if name != leader {
-					b.network.Isolate(leader, name)
-				}
-			}
-		},
+		"killed":           func(b *bed, leader string) { b.kill(leader) },
+		"stopped":          func(b *bed, leader string) { b.stop(leader) },
+		"silently cut off": func(b *bed, _ string) { cutLeader(b) },
 	}
 	for what, fail := range failures {
 		t.Run(what, func(t *testing.T) {
--- a/control/operate.go
+++ b/control/operate.go
@@ -11,7 +11,6 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/lease"
 	"endivedeck.example/message"
-	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/wire"
 )
@@ -201,60 +200,22 @@
 	return operated, nil
 }
 
-// begin serves message.MethodBegin.
-func (c *Control) begin(x *wire.Exchange) {
-	var begin order.Begin
-	if err := x.Decode(&begin); err != nil {
-		x.Fail(err)
-		return
-	}
-	c.answerProposal(x, Command{Begin: &begin})
-}
-
-// finish serves message.MethodFinish.
-func (c *Control) finish(x *wire.Exchange) {
-	var finish order.Finish
-	if err := x.Decode(&finish); err != nil {
-		x.Fail(err)
-		return
-	}
-	c.answerProposal(x, Command{Finish: &finish})
-}
-
-// ending serves message.MethodEnding.
-func (c *Control) ending(x *wire.Exchange) {
-	var ending order.Ending
-	if err := x.Decode(&ending); err != nil {
-		x.Fail(err)
-		return
-	}
-	c.answerProposal(x, Command{Ending: &ending})
-}
-
-// report serves message.MethodReport.
-func (c *Control) report(x *wire.Exchange) {
-	var report change.Report
-	if err := x.Decode(&report); err != nil {
-		x.Fail(err)
-		return
-	}
-	c.answerProposal(x, Command{Report: &report})
-}
-
-func (c *Control) answerProposal(x *wire.Exchange, command Command) {
-	result, err := c.propose(context.Background(), command)
-	if err != nil {
-		x.Fail(err)
-		return
-	}
-	if err, ok := result.Value.(error); ok {
-		x.Fail(err)
-		return
-	}
-	if result.Value == nil {
-		result.Value = message.Nothing{}
-	}
-	x.Reply(result.Value)
+// proposal returns the handler of a method whose request goes into the log as
+// it is, and is answered with what came of it there.
+func proposal[In any](c *Control, command func(*In) Command) wire.Handler {
+	return wire.Answer(func(in In) (any, error) {
+		result, err := c.propose(context.Background(), command(&in))
+		if err != nil {
+			return nil, err
+		}
+		if err, ok := result.Value.(error); ok {
+			return nil, err
+		}
+		if result.Value == nil {
+			return message.Nothing{}, nil
+		}
+		return result.Value, nil
+	})
 }
 
 func names(holders []lease.Holder) []string {
--- a/control/outlive_test.go
+++ b/control/outlive_test.go
@@ -44,8 +44,7 @@
 	for _, f := range failures {
 		fmt.Fprintf(&text, "%s: leases lapsed at %d of %d phases\n", f.name, lapses(t, false, f.fail), phases)
 	}
-	caught := lapses(t, true, cutLeader) > 0
-	fmt.Fprintf(&text, "twin: the leader silently cut off: a lapse was seen: %v\n", caught)
+	fmt.Fprintf(&text, "twin: the leader silently cut off: a lapse was seen: %v\n", lapses(t, true, cutLeader) > 0)
 	golden.Check(t, "outlive.golden", text.String())
 }
 
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -250,7 +250,7 @@
 // awaitReady waits until every entry serves and knows every backend server.
 func (d *Deployment) awaitReady(ctx context.Context) error {
 	for _, address := range d.Callers {
-		for !healthy(ctx, address) {
+		for !Healthy(ctx, address) {
 			if !interval.Wait(ctx, readyPause) {
 				return fault.New(fault.Deadline, fault.No, "%s: the entries didn't become ready", d.Plan.Name)
 			}
@@ -278,7 +278,9 @@
 
 func (d *Deployment) name(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i+1) }
 
-func healthy(ctx context.Context, address string) bool {
+// Healthy reports whether the health check at an address answers that all is
+// well.
+func Healthy(ctx context.Context, address string) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
 	if err != nil {
 		return false
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -100,14 +100,9 @@
 			b.engines = append(b.engines, e)
 			b.serve(name, workers, e.handlers())
 		}
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		process := kernel.DefaultProcess()
-		process.Instance = "entry-1"
-		host := &kernel.Host{Process: process, Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(), Pool: workers}
 		wanted := DefaultSettings()
 		wanted.Control = []string{"control-1"}
-		e, err := New(host, wanted, network.Transport("entry-1"))
+		e, err := New(newHost("entry-1", workers), wanted, network.Transport("entry-1"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -125,6 +120,15 @@
 	})
 }
 
+// newHost returns the frame of a process whose log nobody reads.
+func newHost(name string, workers *pool.Pool) *kernel.Host {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	process := kernel.DefaultProcess()
+	process.Instance = name
+	return &kernel.Host{Process: process, Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(), Pool: workers}
+}
+
 func (b *bed) serve(name string, workers *pool.Pool, handlers map[string]wire.Handler) {
 	b.t.Helper()
 	listener, err := b.network.Transport(name).Listen(name)
@@ -138,16 +142,7 @@
 func (b *bed) order(key string) string {
 	caller, err := b.entry.desk.Identify("key of the crews")
 	if err == nil {
-		_, err = b.entry.desk.Do(b.t.Context(), Call{
-			ID:      nonce(),
-			Caller:  caller,
-			Class:   "orders",
-			Service: ledgerKind,
-			Method:  "POST",
-			Path:    "/orders",
-			Body:    []byte("cuttings"),
-			Key:     key,
-		})
+		_, err = b.entry.desk.Do(b.t.Context(), orderCall(caller, key))
 	}
 	if err == nil {
 		return "done"
@@ -160,7 +155,7 @@
 		message.MethodRenew:   wire.HandlerFunc(f.renew),
 		message.MethodRelease: wire.HandlerFunc(func(x *wire.Exchange) { x.Reply(message.Nothing{}) }),
 		message.MethodBegin:   wire.HandlerFunc(f.begin),
-		message.MethodFinish:  wire.HandlerFunc(f.finish),
+		message.MethodFinish:  wire.Answer(f.finish),
 	}
 }
 
@@ -233,20 +228,14 @@
 	x.Reply(begun)
 }
 
-func (f *fakeControl) finish(x *wire.Exchange) {
-	var finish order.Finish
-	if err := x.Decode(&finish); err != nil {
-		x.Fail(err)
-		return
-	}
+func (f *fakeControl) finish(finish order.Finish) (order.Finished, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.away {
-		x.Fail(fault.New(fault.Unavailable, fault.No, "it doesn't lead"))
-		return
+		return order.Finished{}, fault.New(fault.Unavailable, fault.No, "it doesn't lead")
 	}
 	finish.At = time.Now()
-	x.Reply(f.book.Finish(finish))
+	return f.book.Finish(finish), nil
 }
 
 func (f *fakeControl) record(finish order.Finish) {
@@ -323,8 +312,8 @@
 func (f *fakeSidecar) handlers() map[string]wire.Handler {
 	return map[string]wire.Handler{
 		message.MethodGrants: wire.HandlerFunc(f.grants),
-		message.MethodCall:   wire.HandlerFunc(f.call),
-		message.MethodFence:  wire.HandlerFunc(f.fence),
+		message.MethodCall:   wire.Answer(f.call),
+		message.MethodFence:  wire.Answer(f.fence),
 	}
 }
 
@@ -336,22 +325,15 @@
 	time.AfterFunc(grantPause, func() { f.grants(x) })
 }
 
-func (f *fakeSidecar) call(x *wire.Exchange) {
-	var call message.ServiceCall
-	if err := x.Decode(&call); err != nil {
-		x.Fail(err)
-		return
-	}
+func (f *fakeSidecar) call(call message.ServiceCall) (message.ServiceAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.fail; err != nil {
 		f.fail = nil
-		x.Fail(err)
-		return
+		return message.ServiceAnswer{}, err
 	}
 	if f.handed[call.Order] {
-		x.Fail(fault.New(fault.Conflict, fault.Unknown, "handed over already"))
-		return
+		return message.ServiceAnswer{}, fault.New(fault.Conflict, fault.Unknown, "handed over already")
 	}
 	f.handed[call.Order] = true
 	f.ran[call.Key]++
@@ -362,22 +344,16 @@
 		f.forget()
 		f.forget = nil
 	}
-	x.Reply(message.ServiceAnswer{ID: call.ID, Answer: answer})
+	return message.ServiceAnswer{ID: call.ID, Answer: answer}, nil
 }
 
-func (f *fakeSidecar) fence(x *wire.Exchange) {
-	var ask message.Fence
-	if err := x.Decode(&ask); err != nil {
-		x.Fail(err)
-		return
-	}
+func (f *fakeSidecar) fence(ask message.Fence) (message.Fenced, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.gone {
-		x.Fail(fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over"))
-		return
+		return message.Fenced{}, fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over")
 	}
 	handed := f.handed[ask.Order]
 	f.handed[ask.Order] = true
-	x.Reply(message.Fenced{Handed: handed})
+	return message.Fenced{Handed: handed}, nil
 }
--- a/entry/settler.go
+++ b/entry/settler.go
@@ -90,7 +90,7 @@
 	s.mu.Unlock()
 	var left []*attempt
 	for _, a := range list {
-		if !s.one(ctx, a) && time.Since(a.since) < settleKeep {
+		if !s.settleOne(ctx, a) && time.Since(a.since) < settleKeep {
 			left = append(left, a)
 		}
 	}
@@ -100,8 +100,8 @@
 	return len(s.list) > 0
 }
 
-// one reports whether nothing is left to be done about an attempt.
-func (s *settler) one(ctx context.Context, a *attempt) bool {
+// settleOne reports whether nothing is left to be done about an attempt.
+func (s *settler) settleOne(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	if a.ticket != nil {
--- a/entry/soak_faults_test.go
+++ b/entry/soak_faults_test.go
@@ -84,25 +84,25 @@
 }
 
 func (s *soak) fail() {
-	any := s.names[s.random.IntN(len(s.names))]
+	name := s.names[s.random.IntN(len(s.names))]
 	length := time.Duration(500+s.random.IntN(3500)) * time.Millisecond
 	switch s.random.IntN(8) {
 	case 0, 1:
 		other := s.names[s.random.IntN(len(s.names))]
-		s.network.Forget(any, other)
+		s.network.Forget(name, other)
 	case 2:
 		for _, other := range s.names {
-			s.network.Forget(any, other)
+			s.network.Forget(name, other)
 		}
 	case 3:
-		s.network.Isolate(any, s.names...)
-		time.AfterFunc(length, func() { s.network.Heal(any) })
+		s.network.Isolate(name, s.names...)
+		time.AfterFunc(length, func() { s.network.Heal(name) })
 	case 4:
 		s.engines[fmt.Sprintf("crew-assist-%d", 1+s.random.IntN(soakEngines))].fall()
 	case 5:
 		s.ledger.fall()
 	default:
-		s.restart(any)
+		s.restart(name)
 	}
 }
 
@@ -214,10 +214,7 @@
 	var answers []string
 	for try, left := 0, resendMost; left > 0; try++ {
 		d := c.desk(i + try)
-		caller, err := d.Identify("key of the crews")
-		if err == nil {
-			_, err = d.Do(context.Background(), soakCall(caller, key))
-		}
+		err := c.send(d, key)
 		ran := c.soak.ledger.runs(key)
 		if ran > 1 {
 			s.note(&s.doubled, "order %s ran %d times", key, ran)
@@ -243,21 +240,25 @@
 	s.note(&s.unknown, "order %s, ran %d times: %s", key, c.soak.ledger.runs(key), strings.Join(answers[:min(4, len(answers))], "; "))
 }
 
-// resend sends an order that was done once more, through another entry: it
-// doesn't run again.
-func (c *soakCrew) resend(i int, key string) {
-	d := c.desk(i)
+func (c *soakCrew) send(d *Desk, key string) error {
 	caller, err := d.Identify("key of the crews")
 	if err == nil {
-		_, _ = d.Do(context.Background(), soakCall(caller, key))
+		_, err = d.Do(context.Background(), orderCall(caller, key))
 	}
+	return err
+}
+
+// resend sends an order that was done once more, through another entry: it
+// doesn't run again.
+func (c *soakCrew) resend(i int, key string) {
+	_ = c.send(c.desk(i), key)
 	if ran := c.soak.ledger.runs(key); ran != 1 {
 		s := &c.soak.score
 		s.note(&s.doubled, "order %s was done, sent again, and ran %d times", key, ran)
 	}
 }
 
-func soakCall(caller Caller, key string) Call {
+func orderCall(caller Caller, key string) Call {
 	return Call{
 		ID:      nonce(),
 		Caller:  caller,
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -12,9 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/sirupsen/logrus"
-
 	"endivedeck.example/contract"
 	"endivedeck.example/control"
 	"endivedeck.example/fault"
@@ -228,13 +224,9 @@
 }
 
 func (s *soak) host(name string) *kernel.Host {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	process := kernel.DefaultProcess()
-	process.Instance = name
 	workers := pool.New(48, 1024)
 	soakPools = append(soakPools, workers)
-	return &kernel.Host{Process: process, Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(), Pool: workers}
+	return newHost(name, workers)
 }
 
 func (s *soak) controlNames() []string { return s.names[:soakControl] }
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -149,19 +149,13 @@
 
 // fence serves message.MethodFence: an order that wasn't handed over never
 // will be, also when its call comes late. Another incarnation can't tell.
-func (s *Sidecar) fence(x *wire.Exchange) {
-	var ask message.Fence
-	if err := x.Decode(&ask); err != nil {
-		x.Fail(err)
-		return
-	}
+func (s *Sidecar) fence(ask message.Fence) (message.Fenced, error) {
 	if ask.Incarnation != s.incarnation {
-		x.Fail(fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over"))
-		return
+		return message.Fenced{}, fault.New(fault.NotFound, fault.Unknown, "another process was to hand the order over")
 	}
 	first := s.hand(ask.Order, time.Now())
 	if first {
 		s.settled(ask.Order)
 	}
-	x.Reply(message.Fenced{Handed: !first})
+	return message.Fenced{Handed: !first}, nil
 }
--- a/sidecar/hand_test.go
+++ b/sidecar/hand_test.go
@@ -14,17 +14,16 @@
 // TestHand lets each order through once, and never one that was fenced first.
 func TestHand(t *testing.T) {
 	s := &Sidecar{handed: map[uint64]handed{}, mu: rank.New(rank.Slot)}
-	now := time.Unix(1_800_000_000, 0)
 	var text strings.Builder
 	for _, step := range []struct {
 		what  string
 		order uint64
-	}{{"call", 1}, {"call", 1}, {"fence", 1}, {"fence", 2}, {"call", 2}, {"fence", 2}, {"call", 3}} {
+	}{{"call", 1}, {"call", 1}, {"fence", 1}, {"fence", 2}, {"call", 2}, {"fence", 2}, {"call", 3}, {"call again", 3}} {
 		may := false
-		if step.what == "call" {
-			may = s.mayHand(message.ServiceCall{Order: step.order})
+		if step.what == "fence" {
+			may = s.hand(step.order, time.Now())
 		} else {
-			may = s.hand(step.order, now)
+			may = s.mayHand(message.ServiceCall{Order: step.order, Again: step.what == "call again"})
 		}
 		fmt.Fprintf(&text, "%s %d: %v\n", step.what, step.order, may)
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -192,7 +192,7 @@
 		message.MethodWork:   wire.HandlerFunc(s.streams.work),
 		message.MethodCancel: wire.HandlerFunc(s.streams.cancel),
 		message.MethodCall:   wire.HandlerFunc(s.call),
-		message.MethodFence:  wire.HandlerFunc(s.fence),
+		message.MethodFence:  wire.Answer(s.fence),
 	})
 	s.running.Add(4)
 	go s.probe.run(running)
--- a/wire/server.go
+++ b/wire/server.go
@@ -53,6 +53,24 @@
 
 var _ Handler = HandlerFunc(nil)
 
+// Answer returns a handler of a method with one request and one reply: do gets
+// the decoded request, and what it returns is the reply.
+func Answer[In, Out any](do func(In) (Out, error)) Handler {
+	return HandlerFunc(func(x *Exchange) {
+		var in In
+		if err := x.Decode(&in); err != nil {
+			x.Fail(err)
+			return
+		}
+		out, err := do(in)
+		if err != nil {
+			x.Fail(err)
+			return
+		}
+		x.Reply(out)
+	})
+}
+
 // Handle implements Handler.
 func (f HandlerFunc) Handle(x *Exchange) { f(x) }
 
