--- a/control/bed_test.go
+++ b/control/bed_test.go
@@ -15,12 +15,12 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/kernel"
 	"endivedeck.example/member"
 	"endivedeck.example/message"
 	"endivedeck.example/pool"
 	"endivedeck.example/settings"
+	"endivedeck.example/wal"
 	"endivedeck.example/wire"
 	"endivedeck.example/wire/memory"
 )
@@ -40,7 +40,7 @@
 	instance struct {
 		control *Control
 		pool    *pool.Pool
-		disk    *journal.Memory
+		disk    *wal.Memory
 	}
 
 	// holder is a process that holds the configuration.
@@ -75,7 +75,7 @@
 			b.founders = append(b.founders, Founder{Instance: name, Address: name})
 		}
 		for _, f := range b.founders {
-			b.start(f.Instance, journal.NewMemory())
+			b.start(f.Instance, wal.NewMemory())
 		}
 		defer b.end()
 		test(b)
@@ -88,7 +88,7 @@
 	return logrus.NewEntry(logger)
 }
 
-func (b *bed) start(name string, disk *journal.Memory) *instance {
+func (b *bed) start(name string, disk *wal.Memory) *instance {
 	b.t.Helper()
 	process := kernel.DefaultProcess()
 	process.Instance = name
--- a/control/control.go
+++ b/control/control.go
@@ -15,12 +15,12 @@
 	"endivedeck.example/change"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
-	"endivedeck.example/journal"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/roles"
+	"endivedeck.example/wal"
 	"endivedeck.example/wire"
 )
 
@@ -70,9 +70,9 @@
 		listener wire.Listener
 		server   *wire.Server
 		gate     *gate.Gate
-		disk     journal.Disk
-		folder   *journal.Folder // nil where UseDisk gave another disk
-		journal  *journal.Journal
+		disk     wal.Disk
+		folder   *wal.Folder // nil where UseDisk gave another disk
+		journal  *wal.Journal
 		state    *State
 		peers    *peers
 		holders  *holders
@@ -140,11 +140,11 @@
 	if err := c.openDisk(); err != nil {
 		return err
 	}
-	identity, known, err := journal.ReadIdentity(c.disk)
+	identity, known, err := wal.ReadIdentity(c.disk)
 	if err != nil {
 		return err
 	}
-	j, state, err := journal.New(c.disk)
+	j, state, err := wal.New(c.disk)
 	if err != nil {
 		return err
 	}
@@ -167,13 +167,13 @@
 
 // UseDisk has the instance keep its state on disk in place of the data folder.
 // It is called before Start.
-func (c *Control) UseDisk(disk journal.Disk) { c.disk = disk }
+func (c *Control) UseDisk(disk wal.Disk) { c.disk = disk }
 
 func (c *Control) openDisk() error {
 	if c.disk != nil {
 		return nil
 	}
-	folder, err := journal.NewFolder(c.settings.Data)
+	folder, err := wal.NewFolder(c.settings.Data)
 	if err != nil {
 		return err
 	}
@@ -183,7 +183,7 @@
 }
 
 // startReplica takes part in the group under the given identity.
-func (c *Control) startReplica(ctx context.Context, identity journal.Identity, state quorum.State) error {
+func (c *Control) startReplica(ctx context.Context, identity wal.Identity, state quorum.State) error {
 	self := quorum.Member{ID: identity.ID, Instance: identity.Instance, Address: c.settings.Listen}
 	c.peers.start(ctx, self)
 	replica, err := quorum.New(quorum.Options{
--- a/control/force_test.go
+++ b/control/force_test.go
@@ -9,8 +9,8 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/message"
+	"endivedeck.example/wal"
 )
 
 // scenario brings a failure about after version 1 is in force, has version 2
@@ -208,7 +208,7 @@
 		note("put: version %d %s", got.Contract.Version, got.State)
 
 		b.kill("control-1")
-		b.start("control-1", journal.NewMemory())
+		b.start("control-1", wal.NewMemory())
 		voters := b.awaitVoters("control-1#1")
 		note("after control-1 came back without its disk: %d voters, its old identity among them: %v", len(voters), contains(voters, "control-1#1"))
 
--- a/control/founding.go
+++ b/control/founding.go
@@ -9,10 +9,10 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/message"
 	"endivedeck.example/quorum"
 	"endivedeck.example/rank"
+	"endivedeck.example/wal"
 	"endivedeck.example/wire"
 )
 
@@ -36,11 +36,11 @@
 	replica atomic.Pointer[quorum.Replica]
 
 	mu       rank.Mutex
-	identity journal.Identity
+	identity wal.Identity
 	founded  bool
 }
 
-func newFounding(c *Control, identity journal.Identity, founded bool, state quorum.State) *founding {
+func newFounding(c *Control, identity wal.Identity, founded bool, state quorum.State) *founding {
 	return &founding{
 		control:  c,
 		state:    state,
@@ -180,8 +180,8 @@
 }
 
 func (f *founding) adopt(id string) error {
-	identity := journal.Identity{ID: id, Instance: f.control.host.Process.Instance}
-	if err := journal.WriteIdentity(f.control.disk, identity); err != nil {
+	identity := wal.Identity{ID: id, Instance: f.control.host.Process.Instance}
+	if err := wal.WriteIdentity(f.control.disk, identity); err != nil {
 		return err
 	}
 	f.mu.Lock()
--- a/deployment/embed_test.go
+++ b/deployment/embed_test.go
@@ -11,10 +11,10 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/lease"
 	"endivedeck.example/quorum"
 	"endivedeck.example/settings"
+	"endivedeck.example/wal"
 )
 
 // tally is an embedder's own state: it adds up the lengths of its commands.
@@ -44,11 +44,11 @@
 
 	path := t.TempDir()
 	for run := range 2 {
-		folder, err := journal.NewFolder(path)
+		folder, err := wal.NewFolder(path)
 		if err != nil {
 			t.Fatal(err)
 		}
-		j, state, err := journal.New(folder)
+		j, state, err := wal.New(folder)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -15,12 +15,12 @@
 	"endivedeck.example/control"
 	"endivedeck.example/fault"
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/pool"
 	"endivedeck.example/settings"
 	"endivedeck.example/sidecar"
+	"endivedeck.example/wal"
 	"endivedeck.example/wire/memory"
 )
 
@@ -99,7 +99,7 @@
 
 	soakControlled struct {
 		control *control.Control
-		disk    *journal.Memory
+		disk    *wal.Memory
 		busy    bool
 	}
 )
@@ -197,7 +197,7 @@
 	for i := range soakControl {
 		name := fmt.Sprintf("control-%d", i+1)
 		s.names = append(s.names, name)
-		s.controls[name] = &soakControlled{disk: journal.NewMemory()}
+		s.controls[name] = &soakControlled{disk: wal.NewMemory()}
 	}
 	for name := range s.controls {
 		s.startControl(name)
--- a/quorum/bench_test.go
+++ b/quorum/bench_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"endivedeck.example/interval"
-	"endivedeck.example/journal"
 	"endivedeck.example/quorum"
+	"endivedeck.example/wal"
 )
 
 type (
@@ -77,11 +77,11 @@
 		members = append(members, quorum.Member{ID: fmt.Sprint("r", i), Voter: true})
 	}
 	for i, m := range members {
-		folder, err := journal.NewFolder(b.TempDir())
+		folder, err := wal.NewFolder(b.TempDir())
 		if err != nil {
 			b.Fatal(err)
 		}
-		j, state, err := journal.New(folder)
+		j, state, err := wal.New(folder)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -147,11 +147,11 @@
 
 // BenchmarkRestart measures reading a log of 100,000 entries back.
 func BenchmarkRestart(b *testing.B) {
-	folder, err := journal.NewFolder(b.TempDir())
+	folder, err := wal.NewFolder(b.TempDir())
 	if err != nil {
 		b.Fatal(err)
 	}
-	j, _, err := journal.New(folder)
+	j, _, err := wal.New(folder)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -166,7 +166,7 @@
 		}
 	}
 	for b.Loop() {
-		_, state, err := journal.New(folder)
+		_, state, err := wal.New(folder)
 		if err != nil || len(state.Entries) != 100_000 {
 			b.Fatalf("got %d entries, %v", len(state.Entries), err)
 		}
--- a/quorum/failures_test.go
+++ b/quorum/failures_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"endivedeck.example/journal"
 	"endivedeck.example/quorum"
+	"endivedeck.example/wal"
 )
 
 // fail brings one failure about, and sets when it ends and when the next comes.
@@ -89,7 +89,7 @@
 		return
 	}
 	s.crash(n)
-	n.disk = journal.NewMemory()
+	n.disk = wal.NewMemory()
 	n.disk.Lying = s.options.lying
 	if s.options.oldIdentity {
 		// The founders' settings still name it, so nothing seems amiss.
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -9,8 +9,8 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/control"
 	"endivedeck.example/fault"
-	"endivedeck.example/journal"
 	"endivedeck.example/quorum"
+	"endivedeck.example/wal"
 	"endivedeck.example/wire"
 )
 
@@ -54,8 +54,8 @@
 	node struct {
 		place    int
 		id       string
-		disk     *journal.Memory
-		journal  *journal.Journal
+		disk     *wal.Memory
+		journal  *wal.Journal
 		core     *quorum.Core
 		state    *control.State
 		up       bool
@@ -111,7 +111,7 @@
 		members = append(members, quorum.Member{ID: name + "#1", Instance: name, Address: name, Voter: true})
 	}
 	for i := range replicas {
-		n := &node{place: i, id: members[i].ID, disk: journal.NewMemory()}
+		n := &node{place: i, id: members[i].ID, disk: wal.NewMemory()}
 		n.disk.Lying = o.lying
 		s.nodes = append(s.nodes, n)
 		s.found(n, members)
@@ -121,7 +121,7 @@
 
 // found gives a new disk the group's founders and starts the node.
 func (s *schedule) found(n *node, members []quorum.Member) {
-	j, state, err := journal.New(n.disk)
+	j, state, err := wal.New(n.disk)
 	if err == nil {
 		state.Snapshot.Members = members
 		lying := n.disk.Lying
@@ -138,7 +138,7 @@
 
 // boot starts a node from its disk.
 func (s *schedule) boot(n *node) {
-	j, state, err := journal.New(n.disk)
+	j, state, err := wal.New(n.disk)
 	if n.disk.Crashed() {
 		s.crash(n) // while it started; it is started again
 		s.kill(n, bootAgain)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -2,7 +2,7 @@
 //
 // A group of replicas agrees on one sequence of entries. The package splits
 // the work in three. Core decides: it is a state machine over plain structs
-// that does no input or output and is told the time. A Journal keeps what must
+// that does no input or output and is told the time. A Keeper keeps what must
 // survive. Replica drives both: it makes what Core decided durable before any
 // message that depends on it leaves, and applies committed entries to the
 // caller's Machine.
--- a/journal/journal.go
+++ b/wal/journal.go
@@ -1,4 +1,4 @@
-// Package journal keeps a replica's log on a disk.
+// Package wal keeps a replica's log on a disk.
 //
 // A data folder holds four files. "identity" names the replica. "log" is a
 // sequence of records, each written and synced as one; "snapshot" replaces
@@ -9,7 +9,7 @@
 // a last record that was never whole on the disk is cut off, because it was
 // never acknowledged. Anything else that doesn't match its checksum is refused:
 // to cut off acknowledged records would be to forget votes and entries.
-package journal
+package wal
 
 import (
 	"bytes"
--- a/journal/journal_test.go
+++ b/wal/journal_test.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"fmt"
