--- a/cmd/endivedeck/main.go
+++ b/cmd/endivedeck/main.go
@@ -13,6 +13,8 @@
 	_ "endivedeck.example/control"
 	_ "endivedeck.example/demo"
 	_ "endivedeck.example/entry"
+	_ "endivedeck.example/platform"
+	_ "endivedeck.example/relay"
 	_ "endivedeck.example/service"
 	_ "endivedeck.example/sidecar"
 	_ "endivedeck.example/wire/quicline"
--- a/command/serve.go
+++ b/command/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"runtime"
 	"syscall"
@@ -38,19 +39,32 @@
 		f.Usage()
 		return subcommands.ExitUsageError
 	}
+	return Serve(ctx, c.file, c.load)
+}
+
+func (c *serve) load() (kernel.Process, error) {
 	process, err := kernel.Load(c.file)
 	if err != nil {
-		return failed(err)
+		return process, err
 	}
 	if process.Role != c.role {
-		return failed(fault.New(fault.Malformed, fault.No, "%s: role: the file is for the role %q", c.file, process.Role))
+		return process, fault.New(fault.Malformed, fault.No, "%s: role: the file is for the role %q", c.file, process.Role)
 	}
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	return c.run(ctx, process)
+	return process, nil
 }
 
-func (c *serve) run(ctx context.Context, process kernel.Process) subcommands.ExitStatus {
+// Serve runs the process that load describes until SIGTERM or SIGINT. On SIGHUP,
+// and when the settings file changes, what load gives then is taken in.
+func Serve(ctx context.Context, file string, load func() (kernel.Process, error)) subcommands.ExitStatus {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	process, err := load()
+	if err != nil {
+		return failed(err)
+	}
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	if process.Cores > 0 {
 		runtime.GOMAXPROCS(process.Cores)
 	}
@@ -61,6 +75,8 @@
 	if err := k.Start(ctx); err != nil {
 		return failed(err)
 	}
+	r := &reloader{kernel: k, file: file, load: load, hup: hup}
+	go r.run(ctx)
 	err = k.Wait(ctx)
 	if stopErr := k.Stop(); err == nil {
 		err = stopErr
--- a/control/control.go
+++ b/control/control.go
@@ -20,10 +20,18 @@
 	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/roles"
+	"endivedeck.example/roster"
 	"endivedeck.example/wal"
 	"endivedeck.example/wire"
 )
 
+// What an instance with an empty data folder does.
+const (
+	foundSurvey = "survey" // found the group once all founders have answered that there is none
+	foundAtOnce = "found"  // found it, as one that knows that this is the first start of all
+	foundJoin   = "join"   // join the group that is there
+)
+
 const (
 	roleName     = "control"
 	proposalTime = 3 * time.Second
@@ -38,11 +46,14 @@
 type (
 	// Settings is the section "control" of a control instance's settings.
 	Settings struct {
+		Name      string      `json:"name"`                 // among the replicas; the instance's own where it is empty
 		Listen    string      `json:"listen" need:"yes"`    // address for other processes
 		Operators string      `json:"operators" need:"yes"` // address for operators
+		Interface string      `json:"interface"`            // the operators' interface
 		Keys      []Operator  `json:"operatorKeys"`
 		Data      string      `json:"data" need:"yes"`     // the data folder
-		Founders  []Founder   `json:"founders" need:"yes"` // all control instances of the first day, this one too
+		Founders  []Founder   `json:"founders" need:"yes"` // control instances of the first day; or, with "join", some that are there now
+		Founding  string      `json:"founding"`            // what an instance with an empty data folder does: survey, found or join
 		Transport string      `json:"transport"`
 		Roles     string      `json:"roles"` // role policy
 		Limits    gate.Limits `json:"limits"`
@@ -72,6 +83,8 @@
 		gate     *gate.Gate
 		disk     wal.Disk
 		folder   *wal.Folder // nil where UseDisk gave another disk
+		heard    *roster.Ledger
+		news     *news
 		journal  *wal.Journal
 		state    *State
 		peers    *peers
@@ -92,7 +105,14 @@
 
 // DefaultSettings returns the settings that hold where a file says nothing.
 func DefaultSettings() Settings {
-	return Settings{Transport: "quic", Roles: "steady", Limits: gate.DefaultLimits(), Snapshot: 20_000}
+	return Settings{
+		Transport: "quic",
+		Roles:     "steady",
+		Interface: "contracts",
+		Founding:  foundSurvey,
+		Limits:    gate.DefaultLimits(),
+		Snapshot:  20_000,
+	}
 }
 
 func build(host *kernel.Host, settings Settings) (kernel.Role, error) {
@@ -109,6 +129,15 @@
 	if len(settings.Founders) == 0 {
 		return nil, fault.New(fault.Malformed, fault.No, "control.founders: the field is needed")
 	}
+	if settings.Founding == "" {
+		settings.Founding = foundSurvey
+	}
+	if settings.Founding != foundSurvey && settings.Founding != foundAtOnce && settings.Founding != foundJoin {
+		return nil, fault.New(fault.Malformed, fault.No, "control.founding: want %s, %s or %s", foundSurvey, foundAtOnce, foundJoin)
+	}
+	if settings.Name == "" {
+		settings.Name = host.Process.Instance
+	}
 	policy, err := roles.Policies.Find(settings.Roles)
 	if err != nil {
 		return nil, err
@@ -131,6 +160,9 @@
 	c.peers = newPeers(c.client, host.Log)
 	c.holders = newHolders(c)
 	c.state.Watch(c.holders)
+	c.heard = roster.NewLedger()
+	c.news = newNews(c)
+	c.state.Watch(c.news)
 	return c, nil
 }
 
@@ -217,6 +249,7 @@
 		c.handOver(ctx, replica)
 	}
 	c.holders.stop()
+	c.news.stop()
 	if c.gate != nil {
 		_ = c.gate.Stop(ctx)
 	}
@@ -297,5 +330,6 @@
 		message.MethodQuorum:   wire.HandlerFunc(c.deliver),
 		message.MethodFounding: wire.HandlerFunc(c.founding.answer),
 		message.MethodJoin:     wire.HandlerFunc(c.join),
+		message.MethodNews:     wire.HandlerFunc(c.news.follow),
 	}
 }
--- a/control/founding.go
+++ b/control/founding.go
@@ -59,22 +59,24 @@
 
 func (f *founding) takePart(ctx context.Context) error {
 	if !f.known() {
-		join, err := f.survey(ctx, false)
+		join, err := f.mustJoin(ctx)
 		if err != nil {
 			return err
 		}
 		if join {
 			return f.join(ctx)
 		}
-		if err := f.adopt(f.control.host.Process.Instance + founderSuffix); err != nil {
+		if err := f.adopt(f.control.settings.Name + founderSuffix); err != nil {
 			return err
 		}
 	}
 	if !f.isFounder() {
 		return f.join(ctx)
 	}
-	if _, err := f.survey(ctx, true); err != nil {
-		return err
+	if f.control.settings.Founding == foundSurvey {
+		if _, err := f.survey(ctx, true); err != nil {
+			return err
+		}
 	}
 	f.state.Snapshot.Members = f.founders()
 	if err := f.control.journal.Install(f.state.Snapshot, f.state.Ballot, f.state.Entries); err != nil {
@@ -83,6 +85,27 @@
 	return f.control.startReplica(ctx, f.identity, f.state)
 }
 
+// mustJoin reports whether an instance with an empty data folder joins a group
+// that is there, in place of founding it.
+func (f *founding) mustJoin(ctx context.Context) (bool, error) {
+	switch f.control.settings.Founding {
+	case foundJoin:
+		return true, nil
+	case foundAtOnce:
+		return !f.isListed(), nil
+	}
+	return f.survey(ctx, false)
+}
+
+func (f *founding) isListed() bool {
+	for _, founder := range f.control.settings.Founders {
+		if founder.Instance == f.control.settings.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // survey asks the other founders until all have answered that they are as
 // far as is needed, and reports whether one is so far on that this instance
 // must join.
@@ -90,7 +113,7 @@
 	for {
 		ready := true
 		for _, other := range f.control.settings.Founders {
-			if other.Instance == f.control.host.Process.Instance {
+			if other.Instance == f.control.settings.Name {
 				continue
 			}
 			answer, err := f.ask(ctx, other)
@@ -121,7 +144,7 @@
 // answer tells another founder how far this instance is.
 func (f *founding) answer(x *wire.Exchange) {
 	f.mu.Lock()
-	answer := message.Founding{Instance: f.control.host.Process.Instance, Founded: f.founded}
+	answer := message.Founding{Instance: f.control.settings.Name, Founded: f.founded}
 	answer.Term = f.state.Ballot.Term
 	f.mu.Unlock()
 	if replica := f.replica.Load(); replica != nil {
@@ -133,7 +156,7 @@
 // join takes a new identity and asks to be taken in until a leader has it.
 func (f *founding) join(ctx context.Context) error {
 	if !f.known() {
-		if err := f.adopt(f.control.host.Process.Instance + "#" + nonce()); err != nil {
+		if err := f.adopt(f.control.settings.Name + "#" + nonce()); err != nil {
 			return err
 		}
 	}
@@ -180,7 +203,7 @@
 }
 
 func (f *founding) adopt(id string) error {
-	identity := wal.Identity{ID: id, Instance: f.control.host.Process.Instance}
+	identity := wal.Identity{ID: id, Instance: f.control.settings.Name}
 	if err := wal.WriteIdentity(f.control.disk, identity); err != nil {
 		return err
 	}
--- a/control/http.go
+++ b/control/http.go
@@ -12,6 +12,7 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/settings"
 )
@@ -23,9 +24,33 @@
 	control *Control
 }
 
+// Interfaces is the slot of operators' interfaces.
+var Interfaces = kernel.NewSlot[Interface]("operators' interface")
+
+// Interface adds an operators' interface to mux.
+type Interface func(mux *http.ServeMux, desk *Desk)
+
+func init() {
+	Interfaces.Register("contracts", addContracts)
+}
+
 func (c *Control) openGate() error {
-	o := &operators{control: c}
+	add, err := Interfaces.Find(c.settings.Interface)
+	if err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
+	add(mux, &Desk{control: c})
+	g, err := gate.New(c.settings.Operators, mux, c.settings.Limits, nil)
+	if err != nil {
+		return err
+	}
+	c.gate = g
+	return nil
+}
+
+func addContracts(mux *http.ServeMux, desk *Desk) {
+	o := &operators{control: desk.control}
 	mux.HandleFunc("GET /healthz", o.health)
 	mux.HandleFunc("GET /v1/contracts", o.guard(o.list))
 	mux.HandleFunc("GET /v1/contracts/{customer}", o.guard(o.get))
@@ -34,12 +59,6 @@
 	mux.HandleFunc("GET /v1/changes", o.guard(o.changes))
 	mux.HandleFunc("POST /v1/changes", o.guard(o.announce))
 	mux.HandleFunc("GET /v1/status", o.guard(o.status))
-	g, err := gate.New(c.settings.Operators, mux, c.settings.Limits, nil)
-	if err != nil {
-		return err
-	}
-	c.gate = g
-	return nil
 }
 
 // guard lets operators in by their key and nobody else.
--- a/control/operate.go
+++ b/control/operate.go
@@ -23,6 +23,8 @@
 	OperateAnnounce = "announce"
 	OperateChanges  = "changes"
 	OperateStatus   = "status"
+	OperateRoute    = "route"  // put a table of routes
+	OperateRoutes   = "routes" // get the newest one
 )
 
 // States of a contract change as operators see it.
@@ -81,6 +83,8 @@
 		return c.putContract(ctx, ask)
 	case OperateAnnounce:
 		return c.announce(ctx, ask)
+	case OperateRoute:
+		return c.putRoutes(ctx, ask)
 	}
 	replica, lead, err := c.leading(time.Now())
 	if err != nil {
@@ -114,6 +118,9 @@
 		operated.Changes = c.state.Changes()
 	case OperateStatus:
 		operated.Status = c.status(lead)
+	case OperateRoutes:
+		table := c.state.Routes()
+		operated.Routes = &table
 	default:
 		return operated, fault.New(fault.Malformed, fault.No, "no such request: %q", ask.Kind)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,7 @@
 	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/rank"
+	"endivedeck.example/routes"
 	"endivedeck.example/wire"
 )
 
@@ -26,12 +27,13 @@
 		Begin    *order.Begin         `cbor:"4,keyasint,omitempty"`
 		Finish   *order.Finish        `cbor:"5,keyasint,omitempty"`
 		Ending   *order.Ending        `cbor:"6,keyasint,omitempty"`
+		Routes   *routes.Table        `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Watcher is told of changes of the state. It is called by the
 	// replica's goroutine, holds no lock, and must not wait.
 	Watcher interface {
-		// Changed tells that contracts or announced changes have changed.
+		// Changed tells that contracts, announced changes or routes have changed.
 		Changed()
 
 		// Led tells that this replica begins or ceases to lead.
@@ -44,7 +46,8 @@
 		contracts *contract.Book
 		changes   *change.Book
 		orders    *order.Book
-		watcher   Watcher
+		routes    *routes.Book
+		watchers  []Watcher
 	}
 
 	savedState struct {
@@ -52,6 +55,7 @@
 		Changes   *change.Book   `cbor:"2,keyasint"`
 		Orders    []order.Record `cbor:"3,keyasint"`
 		Endings   []order.Ending `cbor:"4,keyasint,omitempty"`
+		Routes    *routes.Book   `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -62,23 +66,24 @@
 		contracts: contract.NewBook(),
 		changes:   change.NewBook(),
 		orders:    order.NewBook(),
+		routes:    new(routes.Book),
 	}
 }
 
-// Watch sets the one watcher. It is called before the state is in use.
-func (s *State) Watch(w Watcher) { s.watcher = w }
+// Watch adds a watcher. It is called before the state is in use.
+func (s *State) Watch(w Watcher) { s.watchers = append(s.watchers, w) }
 
 // Apply implements quorum.Machine. Its result is a contract.Outcome, a
-// change.Outcome, an order.Begun, an order.Finished, or an error for a command
-// that can't be read.
+// change.Outcome, an order.Begun, an order.Finished, a routes.Outcome, or an
+// error for a command that can't be read.
 func (s *State) Apply(index, term uint64, text []byte) any {
 	var c Command
 	if err := wire.Decode(text, &c); err != nil {
 		return err
 	}
 	result, changed := s.apply(index, term, c)
-	if changed && s.watcher != nil {
-		s.watcher.Changed()
+	if changed {
+		s.changed()
 	}
 	return result
 }
@@ -101,6 +106,9 @@
 	case c.Ending != nil:
 		s.orders.End(*c.Ending)
 		return nil, false
+	case c.Routes != nil:
+		outcome := s.routes.Apply(*c.Routes)
+		return outcome, outcome.Stored
 	}
 	return fault.New(fault.Malformed, fault.No, "an empty command"), false
 }
@@ -109,12 +117,12 @@
 func (s *State) Save() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return wire.Encode(savedState{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List(), Endings: s.orders.Ended()})
+	return wire.Encode(savedState{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List(), Endings: s.orders.Ended(), Routes: s.routes})
 }
 
 // Restore implements quorum.Machine.
 func (s *State) Restore(text []byte) error {
-	saved := savedState{Contracts: contract.NewBook(), Changes: change.NewBook()}
+	saved := savedState{Contracts: contract.NewBook(), Changes: change.NewBook(), Routes: new(routes.Book)}
 	if err := wire.Decode(text, &saved); err != nil {
 		return err
 	}
@@ -122,17 +130,22 @@
 	s.contracts = saved.Contracts
 	s.changes = saved.Changes
 	s.orders.Load(saved.Orders, saved.Endings)
+	s.routes = saved.Routes
 	s.mu.Unlock()
-	if s.watcher != nil {
-		s.watcher.Changed()
-	}
+	s.changed()
 	return nil
 }
 
+func (s *State) changed() {
+	for _, w := range s.watchers {
+		w.Changed()
+	}
+}
+
 // Led implements quorum.Observer.
 func (s *State) Led(leading bool, term uint64) {
-	if s.watcher != nil {
-		s.watcher.Led(leading, term)
+	for _, w := range s.watchers {
+		w.Led(leading, term)
 	}
 }
 
@@ -181,6 +194,14 @@
 	return s.changes.List()
 }
 
+// Routes returns the newest table of routes. It is shared and must not be
+// changed.
+func (s *State) Routes() routes.Table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes.Table
+}
+
 // Orders returns the number of orders on record.
 func (s *State) Orders() int {
 	s.mu.Lock()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -55,6 +55,13 @@
 		Failed() <-chan error
 	}
 
+	// Reloading is implemented by a role that takes in settings while it runs.
+	Reloading interface {
+		// Reload takes in what can change of the host's sections. After an
+		// error the earlier settings hold.
+		Reload(*Host) error
+	}
+
 	// RoleMaker builds a role from its host.
 	RoleMaker func(*Host) (Role, error)
 
@@ -91,6 +98,7 @@
 		host   *Host
 		role   Role
 		report *gate.Gate
+		sink   *sink
 	}
 )
 
@@ -121,6 +129,18 @@
 
 // New builds the role that the settings name. Log lines go to out.
 func New(process Process, out io.Writer) (*Kernel, error) {
+	set := metrics.NewSet()
+	sink := newSink(out, set)
+	k, err := build(process, sink, set)
+	if err != nil {
+		sink.close()
+		return nil, err
+	}
+	k.sink = sink
+	return k, nil
+}
+
+func build(process Process, out io.Writer, set *metrics.Set) (*Kernel, error) {
 	log, err := newLog(process, out)
 	if err != nil {
 		return nil, err
@@ -132,7 +152,7 @@
 	host := &Host{
 		Process: process,
 		Log:     log,
-		Metrics: metrics.NewSet(),
+		Metrics: set,
 		Pool:    pool.New(process.Workers, process.Backlog),
 	}
 	role, err := maker(host)
@@ -190,9 +210,25 @@
 		_ = k.report.Stop(ctx)
 	}
 	k.host.Log.Info("stopped")
+	k.sink.close()
 	return err
 }
 
+// Reload gives the role the settings as they are now, if it can take them in
+// while it runs.
+func (k *Kernel) Reload(process Process) {
+	role, ok := k.role.(Reloading)
+	if !ok {
+		k.host.Log.Info("reload: this role takes settings in at its start alone")
+		return
+	}
+	if err := role.Reload(&Host{Process: process, Log: k.host.Log, Metrics: k.host.Metrics, Pool: k.host.Pool}); err != nil {
+		k.host.Log.WithField("error", err.Error()).Error("reload: the settings are refused; the earlier ones hold")
+		return
+	}
+	k.host.Log.Info("reloaded")
+}
+
 // MetricsHandler serves a set of metrics, and those of the process, under
 // /metrics.
 func MetricsHandler(set *metrics.Set) http.Handler {
--- a/message/message.go
+++ b/message/message.go
@@ -12,6 +12,8 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/order"
 	"endivedeck.example/quorum"
+	"endivedeck.example/roster"
+	"endivedeck.example/routes"
 )
 
 // Methods of calls.
@@ -31,6 +33,7 @@
 	MethodWork     = "work"     // entry to sidecar: Work, then Piece one after another
 	MethodCancel   = "cancel"   // entry to sidecar: Cancel, Nothing
 	MethodCall     = "call"     // entry to sidecar: ServiceCall, ServiceAnswer
+	MethodNews     = "news"     // relay to control: Follow, then News one after another
 )
 
 // Kinds of backend servers.
@@ -142,6 +145,21 @@
 		Announcement *change.Announcement `cbor:"3,keyasint,omitempty"`
 		Customer     string               `cbor:"4,keyasint,omitempty"`
 		Wait         time.Duration        `cbor:"5,keyasint"` // how long to wait for a contract to be in force
+		Routes       *routes.Table        `cbor:"6,keyasint,omitempty"`
+	}
+
+	// Follow asks for what relays need to know, as long as the call lasts.
+	Follow struct {
+		Relay   string `cbor:"1,keyasint"`
+		Version uint64 `cbor:"2,keyasint"` // of the routes that it has in force
+	}
+
+	// News tells a relay what a control instance knows. Servers is always whole.
+	News struct {
+		Routes  *routes.Table  `cbor:"1,keyasint,omitempty"` // if they are newer than what was sent before
+		Servers []roster.Heard `cbor:"2,keyasint"`
+		Members []string       `cbor:"3,keyasint"` // addresses of the control instances
+		Relays  int            `cbor:"4,keyasint"` // that follow this control instance
 	}
 
 	// Operated answers Operate.
@@ -154,6 +172,7 @@
 		Changes   []change.Change     `cbor:"6,keyasint,omitempty" json:"changes,omitempty"`
 		Status    *Status             `cbor:"7,keyasint,omitempty" json:"status,omitempty"`
 		Behind    []string            `cbor:"8,keyasint,omitempty" json:"behind,omitempty"` // holders that a pending contract waits for
+		Routes    *routes.Table       `cbor:"9,keyasint,omitempty" json:"-"`
 	}
 
 	// Status describes the system as its leader sees it.
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,71 @@
+// Package placement decides which backend server gets a request.
+//
+// It knows the servers of the roster, what this relay has given to each, and
+// what came of it. A request goes where its answer is expected to begin first:
+// behind the work that is known to be there, with the prompt's parts that are
+// likely to be held in the server's memory already. Each prompt's shared parts
+// have a home, the same for all relays, so that they are held in one place.
+//
+// The package does no input or output, and is told the time.
+package placement
+
+import (
+	"time"
+
+	"endivedeck.example/roster"
+)
+
+type (
+	// Part is a part of a prompt that several requests may share.
+	Part struct {
+		ID     uint64 // hash of its name
+		Tokens int
+	}
+
+	// Ask describes a request to be placed.
+	Ask struct {
+		Service string
+		Domain  string          // failure domain of the relay
+		Prompt  []Part          // in order; empty for a request without a prompt
+		Tokens  int             // of the whole prompt
+		Most    int             // tokens to be generated
+		Tried   map[string]bool // servers that are left out, by ID
+		Direct  bool            // the prompt is read where the answer is generated
+	}
+
+	// Choice is where a request goes. Reader is the server that reads the
+	// prompt first and hands its KV cache over; without one, Runner does all.
+	Choice struct {
+		Reader *Ticket
+		Runner *Ticket
+		Expect time.Duration // to the first byte of the answer
+	}
+
+	// Outcome tells what came of a ticket.
+	Outcome struct {
+		Result Result
+		First  time.Duration // from sending to the first byte of the answer, if one came
+	}
+
+	// Result says how a backend server did.
+	Result int
+
+	// Ticket is a request's place at one server. End must be called once.
+	Ticket struct {
+		Server roster.Server
+
+		table *Table
+		work  time.Duration // of reading the prompt, as expected
+		chat  bool
+		ended bool
+	}
+)
+
+// Results.
+const (
+	Good     Result = iota // it answered
+	Failed                 // it answered that it failed
+	Busy                   // it said that the request didn't run
+	Lost                   // no answer, or a broken one
+	Withdrew               // the caller left, which says nothing of the server
+)
--- /dev/null
+++ b/placement/prompt.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/roster"
+)
+
+const (
+	readRate    = 350.0 // prompt tokens read in a millisecond; the engines' sheets say 331 to 419
+	decodeShare = 0.5   // of that rate at an engine that generates
+	stepTime    = time.Millisecond
+	moveTime    = 3 * time.Millisecond // to hand a prompt's KV cache to another engine, with the second call
+	farTime     = time.Millisecond     // more, between failure domains
+
+	chatTokens = 1024 // a prompt up to this size is read in one piece between two steps
+
+	// Chances that a shared part has to be read again.
+	missFirst = 0.05 // the first part, which few prompts differ in
+	missHeld  = 0.15 // at a server that this relay gave the same part lately
+	missHome  = 0.5  // at the home of the part
+	missElse  = 0.95
+)
+
+// isChat reports whether what counts is how evenly the answer comes.
+func (a *Ask) isChat() bool { return a.Tokens <= chatTokens }
+
+// choosePrompt takes the engine, or the two, by which the answer begins first.
+func (t *Table) choosePrompt(now time.Time, ask Ask, able []*server) (Choice, error) {
+	var reader, runner, whole *server
+	var readerCost, runnerCost, wholeCost time.Duration
+	chain := ask.chain()
+	for _, s := range able {
+		if s.Stage == roster.Prefill {
+			if cost := s.readCost(now, ask, chain, able); !ask.Direct && !ask.isChat() && (reader == nil || cost < readerCost) {
+				reader, readerCost = s, cost
+			}
+			continue
+		}
+		if cost := s.readCost(now, ask, chain, able); whole == nil || cost < wholeCost {
+			whole, wholeCost = s, cost
+		}
+		if cost := s.runCost(now, ask); runner == nil || cost < runnerCost {
+			runner, runnerCost = s, cost
+		}
+	}
+	switch {
+	case whole == nil:
+		return Choice{}, fault.New(fault.Unavailable, fault.No, "no engine of %s generates now", ask.Service)
+	case reader != nil && readerCost+moveTime+runnerCost < wholeCost:
+		reader.hold(now, chain)
+		return Choice{
+			Reader: t.ticket(now, reader, ask, reader.work(now, ask, chain, able)),
+			Runner: t.ticket(now, runner, ask, stepTime),
+			Expect: readerCost + moveTime + runnerCost,
+		}, nil
+	}
+	work := whole.work(now, ask, chain, able)
+	whole.hold(now, chain)
+	return Choice{Runner: t.ticket(now, whole, ask, work), Expect: wholeCost}, nil
+}
+
+// chain returns a name for each prefix of whole parts but the last, which is
+// the request's own.
+func (a *Ask) chain() []uint64 {
+	var names []uint64
+	var text [16]byte
+	name := uint64(0)
+	for _, p := range a.Prompt[:len(a.Prompt)-1] {
+		binary.LittleEndian.PutUint64(text[:], name)
+		binary.LittleEndian.PutUint64(text[8:], p.ID)
+		name = xxhash.Sum64(text[:])
+		names = append(names, name)
+	}
+	return names
+}
+
+// readCost is the time until the prompt is read at the server.
+func (s *server) readCost(now time.Time, ask Ask, chain []uint64, all []*server) time.Duration {
+	return s.queue(now) + s.work(now, ask, chain, all) + s.far(ask)
+}
+
+// runCost is the time until an engine that gets the KV cache generates.
+func (s *server) runCost(now time.Time, ask Ask) time.Duration {
+	return s.queue(now) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
+}
+
+func (s *server) queue(now time.Time) time.Duration {
+	return s.pending + s.waitNow(now)
+}
+
+func (s *server) far(ask Ask) time.Duration {
+	if s.Domain == ask.Domain {
+		return 0
+	}
+	return farTime
+}
+
+// work is the time to read what of the prompt isn't expected in memory.
+func (s *server) work(now time.Time, ask Ask, chain []uint64, all []*server) time.Duration {
+	tokens := float64(ask.Tokens)
+	for i, name := range chain {
+		hit := 1 - s.miss(now, i, name, all)
+		tokens -= hit * float64(ask.Prompt[i].Tokens)
+	}
+	rate := readRate
+	if s.Stage == roster.Decode {
+		rate *= decodeShare
+	}
+	return time.Duration(s.slow * max(tokens, 1) / rate * float64(time.Millisecond))
+}
+
+func (s *server) miss(now time.Time, place int, name uint64, all []*server) float64 {
+	if place == 0 {
+		return missFirst
+	}
+	if at, held := s.held[name]; held && now.Sub(at) < heldTime {
+		return missHeld
+	}
+	if home(name, all) == s {
+		return missHome
+	}
+	return missElse
+}
+
+// home returns the server at which all relays expect a shared part.
+func home(name uint64, all []*server) *server {
+	var best *server
+	var most uint64
+	for _, s := range all {
+		if weight := s.weigh(name); best == nil || weight > most {
+			best, most = s, weight
+		}
+	}
+	return best
+}
+
+// weigh ranks the server for a name, by rendezvous.
+func (s *server) weigh(name uint64) uint64 {
+	var text [8]byte
+	binary.LittleEndian.PutUint64(text[:], name)
+	d := xxhash.New()
+	_, _ = d.Write(text[:]) // it never fails
+	_, _ = d.WriteString(s.ID)
+	return d.Sum64()
+}
+
+// hold notes that the server will have read the parts.
+func (s *server) hold(now time.Time, chain []uint64) {
+	const most = 4096 // names, about what an engine's memory holds
+	if len(s.held) > most {
+		for name, at := range s.held {
+			if now.Sub(at) > heldTime {
+				delete(s.held, name)
+			}
+		}
+	}
+	for _, name := range chain {
+		s.held[name] = now
+	}
+}
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,282 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/rank"
+	"endivedeck.example/roster"
+)
+
+const (
+	failRest    = time.Second            // after a lost request; doubled for each in a row
+	failRestMax = 4 * time.Second        // a server that is back is found this soon
+	busyRest    = 50 * time.Millisecond  // after a refusal: about the work of a few requests
+	waitHalf    = 150 * time.Millisecond // in which what was learnt of a queue loses half of its weight
+	heldTime    = 6 * time.Second        // for which a shared part is expected to stay in memory
+
+	learnRate = 0.2 // weight of a new sample in a moving average
+	slowLeast = 0.5 // bounds of how much slower than expected a server may be taken for
+	slowMost  = 20.0
+)
+
+type (
+	// Table holds the servers that may get work, and what this relay knows of
+	// them. Create it with New.
+	Table struct {
+		mu      rank.Mutex
+		servers map[string]*server
+		byName  map[string][]*server // by service, in the order of their IDs
+	}
+
+	server struct {
+		roster.Server
+		active  int
+		chats   int
+		pending time.Duration // of reading prompts that were given and haven't begun to be answered
+		wait    time.Duration // of requests in its queue, when last learnt
+		waitAt  time.Time
+		slow    float64       // how much longer than expected it takes
+		latency time.Duration // of requests without prompts, moving average
+		errors  float64       // moving average of failures
+		fails   int           // in a row
+		rest    time.Time     // it gets no work before
+		heard   time.Time     // last sign of life
+		held    map[uint64]time.Time
+	}
+)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{mu: rank.New(rank.Fleet), servers: map[string]*server{}, byName: map[string][]*server{}}
+}
+
+// Update replaces the servers that may get work. What is known of those that
+// stay is kept.
+func (t *Table) Update(list []roster.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	servers := make(map[string]*server, len(list))
+	byName := map[string][]*server{}
+	for _, s := range list {
+		if s.Leaving || s.Gone {
+			continue
+		}
+		known := t.servers[s.ID]
+		if known == nil || known.Born != s.Born || known.Address != s.Address {
+			known = &server{slow: 1, held: map[uint64]time.Time{}}
+		}
+		known.Server = s
+		servers[s.ID] = known
+		byName[s.Service] = append(byName[s.Service], known)
+	}
+	t.servers = servers
+	t.byName = byName
+}
+
+// Count returns how many servers of a service may get work.
+func (t *Table) Count(service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byName[service])
+}
+
+// Known reports whether a server may still get work.
+func (t *Table) Known(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers[id] != nil
+}
+
+// Choose places a request. It fails with fault.Unavailable when no server may
+// get it.
+func (t *Table) Choose(now time.Time, ask Ask) (Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	able := t.able(now, ask)
+	if len(able) == 0 {
+		return Choice{}, fault.New(fault.Unavailable, fault.No, "no backend server of %s takes work now", ask.Service)
+	}
+	if len(ask.Prompt) == 0 {
+		return t.choosePlain(now, ask, able)
+	}
+	return t.choosePrompt(now, ask, able)
+}
+
+// able returns the servers that aren't resting; if all are, all of them.
+func (t *Table) able(now time.Time, ask Ask) []*server {
+	var able, resting []*server
+	for _, s := range t.byName[ask.Service] {
+		switch {
+		case ask.Tried[s.ID]:
+		case now.Before(s.rest):
+			resting = append(resting, s)
+		default:
+			able = append(able, s)
+		}
+	}
+	if len(able) == 0 {
+		return resting
+	}
+	return able
+}
+
+// choosePlain takes the server that is expected to answer first, by how long
+// it took lately and what it has from this relay.
+func (t *Table) choosePlain(now time.Time, ask Ask, able []*server) (Choice, error) {
+	const unknown = 30 * time.Millisecond // of a server that hasn't answered yet
+	best := slices.MinFunc(able, func(a, b *server) int {
+		return compare(a.plainCost(ask, unknown), b.plainCost(ask, unknown))
+	})
+	cost := best.plainCost(ask, unknown)
+	return Choice{Runner: t.ticket(now, best, ask, 0), Expect: time.Duration(cost)}, nil
+}
+
+func (s *server) plainCost(ask Ask, unknown time.Duration) float64 {
+	const (
+		errorWeight = 4.0 // a failure costs about as much as a few answers
+		farCost     = float64(time.Millisecond)
+	)
+	latency := s.latency
+	if latency == 0 {
+		latency = unknown
+	}
+	cost := float64(latency) * float64(1+s.active) * (1 + errorWeight*s.errors)
+	if s.Domain != ask.Domain {
+		cost += farCost
+	}
+	return cost
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (t *Table) ticket(now time.Time, s *server, ask Ask, work time.Duration) *Ticket {
+	s.active++
+	s.pending += work
+	chat := len(ask.Prompt) > 0 && ask.isChat()
+	if chat {
+		s.chats++
+	}
+	if s.heard.IsZero() {
+		s.heard = now
+	}
+	return &Ticket{Server: s.Server, table: t, work: work, chat: chat}
+}
+
+// Silent returns for how long nothing has come from the ticket's server.
+func (k *Ticket) Silent(now time.Time) time.Duration {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	s := k.table.servers[k.Server.ID]
+	if s == nil {
+		return 0
+	}
+	return now.Sub(s.heard)
+}
+
+// Begun tells that the answer has begun; what follows is generated.
+func (k *Ticket) Begun(now time.Time, first time.Duration) {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	s := k.table.servers[k.Server.ID]
+	if s != nil {
+		s.heard = now
+	}
+	k.settle(now, s, first)
+}
+
+// settle takes the prompt's work off and learns from how long it took.
+func (k *Ticket) settle(now time.Time, s *server, first time.Duration) {
+	work := k.work
+	k.work = 0
+	if s == nil || work == 0 {
+		return
+	}
+	s.pending = max(s.pending-work, 0)
+	if first > 0 {
+		s.learnWait(now, max(first-work, 0))
+	}
+}
+
+func (s *server) learnWait(now time.Time, sample time.Duration) {
+	old := s.waitNow(now)
+	s.wait = old + time.Duration(learnRate*float64(sample-old))
+	s.waitAt = now
+}
+
+// waitNow returns the wait in the queue as learnt, which counts less as it
+// gets older.
+func (s *server) waitNow(now time.Time) time.Duration {
+	if s.wait == 0 {
+		return 0
+	}
+	age := float64(now.Sub(s.waitAt)) / float64(waitHalf)
+	return time.Duration(float64(s.wait) * math.Exp2(-age))
+}
+
+// End gives the place back.
+func (k *Ticket) End(now time.Time, o Outcome) {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	if k.ended {
+		return
+	}
+	k.ended = true
+	s := k.table.servers[k.Server.ID]
+	k.settle(now, s, 0)
+	if s == nil {
+		return
+	}
+	s.active = max(s.active-1, 0)
+	if k.chat {
+		s.chats = max(s.chats-1, 0)
+	}
+	s.note(now, o)
+}
+
+func (s *server) note(now time.Time, o Outcome) {
+	switch o.Result {
+	case Good:
+		s.heard = now
+		s.fails = 0
+		s.errors -= learnRate * s.errors
+		s.learnLatency(o.First)
+	case Failed:
+		s.heard = now
+		s.errors += learnRate * (1 - s.errors)
+		s.learnLatency(o.First)
+	case Busy:
+		s.heard = now
+		s.restFor(now, busyRest)
+	case Lost:
+		s.errors += learnRate * (1 - s.errors)
+		s.fails++
+		s.restFor(now, min(failRest<<min(s.fails-1, 4), failRestMax))
+	}
+}
+
+func (s *server) restFor(now time.Time, length time.Duration) {
+	if until := now.Add(length); until.After(s.rest) {
+		s.rest = until
+	}
+}
+
+func (s *server) learnLatency(sample time.Duration) {
+	switch {
+	case sample <= 0:
+	case s.latency == 0:
+		s.latency = sample
+	default:
+		s.latency += time.Duration(learnRate * float64(sample-s.latency))
+	}
+}
--- /dev/null
+++ b/relay/job.go
@@ -0,0 +1,341 @@
+package relay
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/placement"
+	"endivedeck.example/routes"
+	"endivedeck.example/upstream"
+)
+
+const (
+	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
+	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
+	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
+	silentTime = time.Second          // without any answer, after which a server counts as lost
+)
+
+// job is one caller's request.
+type job struct {
+	relay   *Relay
+	request *http.Request
+	out     *answerer
+	ask     Ask
+	route   *routes.Route
+	version uint64
+	body    []byte
+	service string
+	start   time.Time
+	until   time.Time // when the caller needs the whole answer
+	ctx     context.Context
+	done    chan error
+
+	tried  map[string]bool // servers that had the request
+	direct bool            // no other server reads the prompt
+	sends  int
+	runs   int    // sends that may have run
+	last   string // the event after which a stream goes on
+	failed *failedAnswer
+
+	first  time.Duration // to the first byte of the answer
+	expect time.Duration // the same, as it was expected at the last choice
+	server string
+	reader string
+}
+
+// failedAnswer is an answer by which a server told that the request failed.
+type failedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Do implements pool.Task.
+func (j *job) Do() { j.done <- j.serve() }
+
+// serve sends the request to backend servers until one has answered it or it
+// may not be sent again.
+func (j *job) serve() error {
+	j.last = j.ask.Last
+	j.service = j.route.Pick(draw(j.ask.ID))
+	for {
+		err := j.attempt()
+		if err == nil || !j.mayRepeat(err) {
+			return j.final(err)
+		}
+		j.relay.meters.again(string(fault.Of(err)))
+	}
+}
+
+// draw spreads requests over a route's services, each always alike.
+func draw(id string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // it never fails
+	return float64(h.Sum32()) / (1 << 32)
+}
+
+// mayRepeat reports whether the request may be sent once more after err.
+func (j *job) mayRepeat(err error) bool {
+	e := fault.From(err)
+	switch {
+	case j.out.broken, j.ctx.Err() != nil, time.Until(j.until) < leastLeft:
+		return false
+	case j.sends == 0: // there was nobody to send it to
+		return false
+	case j.sends >= j.route.Attempts+spareSends:
+		return false
+	case e.Ran != fault.No && (!j.route.Repeatable() || j.runs >= j.route.Attempts):
+		return false
+	case j.failed != nil && j.failed.status < http.StatusInternalServerError:
+		return false // another server would find the same fault in the request
+	}
+	return j.relay.budget.Extra(time.Now(), j.service, int(j.relay.relays.Load()))
+}
+
+// final returns the error that the caller is told, after a server's own answer
+// that the request failed was passed on if there is one. A request that has run
+// somewhere isn't called not run because its last send wasn't.
+func (j *job) final(err error) error {
+	e := fault.From(err)
+	if e != nil && j.failed != nil && !j.out.begun {
+		return j.give(j.failed.status, j.failed.header, j.failed.body)
+	}
+	if e != nil && e.Ran == fault.No && j.runs > 0 {
+		return fault.New(fault.Broken, fault.Unknown, "%s", e.Text)
+	}
+	return err
+}
+
+// give passes a whole answer on to the caller.
+func (j *job) give(status int, header http.Header, body []byte) error {
+	j.first = time.Since(j.start)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	j.out.begin(j.relay.dialect, status, header)
+	if err := j.out.write(body); err != nil {
+		j.out.broken = true
+		return fault.New(fault.Canceled, fault.Yes, "the caller is gone: %v", err)
+	}
+	return nil
+}
+
+// attempt sends the request once. It returns nil when an answer was given to
+// the caller.
+func (j *job) attempt() error {
+	now := time.Now()
+	choice, err := j.relay.places.Choose(now, placement.Ask{
+		Service: j.service,
+		Domain:  j.relay.host.Process.FailureDomain,
+		Prompt:  j.ask.Prompt,
+		Tokens:  j.ask.Tokens,
+		Most:    j.ask.Most,
+		Tried:   j.tried,
+		Direct:  j.direct,
+	})
+	if err != nil {
+		return err
+	}
+	j.expect = choice.Expect
+	if j.sends == 0 {
+		j.relay.budget.First(now, j.service)
+	}
+	j.sends++
+	send := Send{Left: time.Until(j.until), Last: j.last, Priority: -1}
+	if choice.Reader != nil {
+		err := j.read(choice, &send)
+		if err != nil {
+			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Withdrew})
+			return err
+		}
+	}
+	return j.run(choice.Runner, send)
+}
+
+// read has a server read the prompt, and notes in send where its KV cache is.
+// Nothing has run by that.
+func (j *job) read(choice placement.Choice, send *Send) error {
+	ticket := choice.Reader
+	j.reader = ticket.Server.ID
+	sent := time.Now()
+	body, err := j.readPrompt(ticket, *send)
+	took := time.Since(sent)
+	if err != nil {
+		j.direct = true
+		j.tried[ticket.Server.ID] = true
+		ticket.End(time.Now(), placement.Outcome{Result: j.resultOf(ticket, err)})
+		return fault.New(fault.Of(err), fault.No, "%s", fault.From(err).Text)
+	}
+	ticket.Begun(time.Now(), took)
+	ticket.End(time.Now(), placement.Outcome{Result: placement.Good, First: took})
+	handle, err := j.relay.dialect.Handle(body)
+	if err != nil {
+		j.direct = true
+		return err
+	}
+	send.Source = ticket.Server.Address
+	send.Handle = handle
+	return nil
+}
+
+func (j *job) readPrompt(ticket *placement.Ticket, send Send) ([]byte, error) {
+	send.Server = ticket.Server
+	send.Read = true
+	answer, err := j.send(j.ctx, send)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	if j.relay.dialect.Judge(answer.Status, answer.Header) != Done {
+		return nil, fault.New(fault.Overloaded, fault.No, "%s doesn't read the prompt: status %d", ticket.Server.ID, answer.Status)
+	}
+	return readAll(answer, handleMost)
+}
+
+// run has a server run the request and carries its answer to the caller.
+func (j *job) run(ticket *placement.Ticket, send Send) error {
+	j.server = ticket.Server.ID
+	j.tried[ticket.Server.ID] = true
+	send.Server = ticket.Server
+	send.Left = time.Until(j.until)
+	if send.Left < leastLeft || j.ctx.Err() != nil {
+		ticket.End(time.Now(), placement.Outcome{Result: placement.Withdrew})
+		j.drop(send)
+		return fault.New(fault.Deadline, fault.No, "no time was left for an answer")
+	}
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	sent := time.Now()
+	answer, err := j.send(ctx, send)
+	if err != nil {
+		ticket.End(time.Now(), placement.Outcome{Result: j.resultOf(ticket, err)})
+		if fault.From(err).Ran != fault.No {
+			j.runs++
+		}
+		return err
+	}
+	defer answer.Close()
+	verdict := j.relay.dialect.Judge(answer.Status, answer.Header)
+	if verdict == NotRun {
+		ticket.End(time.Now(), placement.Outcome{Result: placement.Busy})
+		j.direct = j.direct || send.Handle != ""
+		return fault.New(fault.Overloaded, fault.No, "%s took no work: status %d", ticket.Server.ID, answer.Status)
+	}
+	j.runs++
+	if j.out.begun && verdict != Done {
+		ticket.End(time.Now(), placement.Outcome{Result: placement.Failed})
+		return fault.New(fault.Broken, fault.Yes, "%s doesn't go on with the stream: status %d", ticket.Server.ID, answer.Status)
+	}
+	c := &carry{job: j, ticket: ticket, answer: answer, verdict: verdict, sent: sent, cancel: cancel}
+	if j.route.Kind == routes.Stream && verdict == Done {
+		return c.stream()
+	}
+	return c.whole()
+}
+
+func (j *job) send(ctx context.Context, send Send) (*upstream.Answer, error) {
+	limit := 0
+	if s := j.relay.view.Service(j.service); s != nil && s.Connections > 0 {
+		limit = max(s.Connections/int(j.relay.relays.Load()+1), 1) // one part is left for relays that come
+	}
+	return j.relay.upstream.Send(ctx, send.Server.Address, upstream.Request{
+		Method: j.request.Method,
+		Host:   j.request.Host,
+		Path:   j.request.RequestURI,
+		Header: j.relay.dialect.Header(&j.ask, send),
+		Body:   j.body,
+		Limit:  limit,
+		Mine:   func(header http.Header) bool { return j.relay.dialect.Mine(&j.ask, header) },
+	})
+}
+
+// drop frees a KV cache that nobody will take.
+func (j *job) drop(send Send) {
+	if send.Handle == "" {
+		return
+	}
+	method, path := j.relay.dialect.Drop(send.Handle)
+	task := &dropping{relay: j.relay, address: send.Source, method: method, path: path}
+	if err := j.relay.host.Pool.Submit(task); err != nil {
+		j.relay.log.WithField("request", j.ask.ID).WithField("error", err.Error()).Warn("a KV cache is left to lapse")
+	}
+}
+
+// resultOf tells what a failed send says of its server. One that answers
+// others isn't lost because this request's time was over.
+func (j *job) resultOf(ticket *placement.Ticket, err error) placement.Result {
+	switch {
+	case fault.Of(err) == fault.Deadline && ticket.Silent(time.Now()) < silentTime:
+		return placement.Withdrew
+	case fault.Of(err) == fault.Overloaded:
+		return placement.Busy
+	}
+	return placement.Lost
+}
+
+// note logs the decisions on the request and counts it.
+func (j *job) note(err error) {
+	whole := time.Since(j.start)
+	status := j.out.status
+	if j.out.broken {
+		status = statusBroken
+	}
+	fields := logrus.Fields{"request": j.ask.ID, "version": j.version, "status": status, "whole": whole.Milliseconds()}
+	if j.route == nil {
+		j.relay.log.WithFields(fields).WithField("host", j.request.Host).WithField("path", j.request.URL.Path).Info("no route")
+		return
+	}
+	j.relay.meters.request(j.route.Kind, status, j.first, whole)
+	fields["route"] = j.route.Name
+	fields["service"] = j.service
+	fields["server"] = j.server
+	fields["sends"] = j.sends
+	fields["runs"] = j.runs
+	fields["expect"] = j.expect.Milliseconds()
+	fields["first"] = j.first.Milliseconds()
+	if j.reader != "" {
+		fields["reader"] = j.reader
+	}
+	if err != nil {
+		e := fault.From(err)
+		fields["kind"] = e.Kind
+		fields["ran"] = e.Ran
+		fields["error"] = e.Text
+	}
+	j.relay.log.WithFields(fields).Info("request")
+}
+
+// dropping frees a KV cache.
+type dropping struct {
+	relay   *Relay
+	address string
+	method  string
+	path    string
+}
+
+const dropTime = 500 * time.Millisecond // after which the cache lapses by itself soon
+
+// Do implements pool.Task.
+func (d *dropping) Do() {
+	ctx, cancel := context.WithTimeout(d.relay.ctx, dropTime)
+	defer cancel()
+	answer, err := d.relay.upstream.Send(ctx, d.address, upstream.Request{
+		Method: d.method,
+		Host:   d.address,
+		Path:   d.path,
+		Header: http.Header{},
+	})
+	if err != nil {
+		d.relay.log.WithField("server", d.address).WithField("error", err.Error()).Info("a KV cache is left to lapse")
+		return
+	}
+	defer answer.Close()
+	if _, err := readAll(answer, handleMost); err != nil {
+		d.relay.log.WithField("server", d.address).WithField("error", err.Error()).Info("freeing a KV cache")
+	}
+}
--- /dev/null
+++ b/routes/check.go
@@ -0,0 +1,61 @@
+package routes
+
+import (
+	"strings"
+
+	"endivedeck.example/fault"
+)
+
+// Check returns fault.Malformed with what is wrong when the table can't be
+// put in force.
+func (t *Table) Check() error {
+	services := map[string]bool{}
+	for _, s := range t.Services {
+		if s.Name == "" {
+			return malformed("a service has no name")
+		}
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(services); err != nil {
+			return err
+		}
+		place := r.Host + r.Prefix
+		if other, taken := places[place]; taken {
+			return malformed("routes %q and %q share the host %q and the prefix %q", other, r.Name, r.Host, r.Prefix)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	switch {
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return malformed("route %q: the prefix %q doesn't begin and end with a slash", r.Name, r.Prefix)
+	case r.Timeout <= 0:
+		return malformed("route %q: the timeout must be more than 0", r.Name)
+	case len(r.Targets) == 0:
+		return malformed("route %q: no service", r.Name)
+	}
+	total := 0.0
+	for _, target := range r.Targets {
+		if !services[target.Service] {
+			return malformed("route %q: unknown service %q", r.Name, target.Service)
+		}
+		if target.Weight < 0 {
+			return malformed("route %q: the weight of %q is below 0", r.Name, target.Service)
+		}
+		total += target.Weight
+	}
+	if total <= 0 {
+		return malformed("route %q: the weights add up to 0", r.Name)
+	}
+	return nil
+}
+
+func malformed(format string, args ...any) error {
+	return fault.New(fault.Malformed, fault.No, format, args...)
+}
--- /dev/null
+++ b/routes/routes.go
@@ -0,0 +1,101 @@
+// Package routes holds the contract data by which whole requests are relayed:
+// which requests there are, what may be repeated, their times and priority, and
+// the services that run them.
+//
+// A Table is one version of all routes. Book is the replicated part, in which
+// the highest version wins. View is what one process has in force.
+package routes
+
+import (
+	"time"
+)
+
+// Kinds of requests.
+const (
+	Idempotent Kind = "idempotent" // may run more than once
+	Once       Kind = "once"       // runs at most once
+	Stream     Kind = "stream"     // answered by a series of events
+)
+
+type (
+	// Kind says what may be done with a request.
+	Kind string
+
+	// Table is one version of all routes.
+	Table struct {
+		Version  uint64    `cbor:"1,keyasint"`
+		Routes   []Route   `cbor:"2,keyasint"`
+		Services []Service `cbor:"3,keyasint"`
+		Limits   Limits    `cbor:"4,keyasint"`
+		Text     []byte    `cbor:"5,keyasint,omitempty"` // as the operator wrote it
+	}
+
+	// Route tells how the requests below one prefix of a host are served.
+	Route struct {
+		Name      string        `cbor:"1,keyasint"`
+		Host      string        `cbor:"2,keyasint"`
+		Prefix    string        `cbor:"3,keyasint"` // begins and ends with a slash
+		Kind      Kind          `cbor:"4,keyasint"`
+		Resumable bool          `cbor:"5,keyasint"` // a stream may go on at another backend server
+		Prompts   bool          `cbor:"6,keyasint"` // requests say what their prompts are made of
+		Timeout   time.Duration `cbor:"7,keyasint"` // the longest that a caller waits for the whole answer
+		Target    time.Duration `cbor:"8,keyasint"` // latency objective; of a stream, to its first event
+		Pause     time.Duration `cbor:"9,keyasint"` // the longest between two events; 0 for none
+		Priority  int           `cbor:"10,keyasint"`
+		Attempts  int           `cbor:"11,keyasint"` // backend servers that may run one request
+		Targets   []Target      `cbor:"12,keyasint"`
+	}
+
+	// Target is a service that takes a part of a route's requests.
+	Target struct {
+		Service string  `cbor:"1,keyasint"`
+		Weight  float64 `cbor:"2,keyasint"`
+	}
+
+	// Service is a group of backend servers that can stand in for each other.
+	Service struct {
+		Name        string  `cbor:"1,keyasint"`
+		Health      string  `cbor:"2,keyasint"` // path of the health check
+		Connections int     `cbor:"3,keyasint"` // that one backend server accepts from all callers together
+		Engine      *Engine `cbor:"4,keyasint,omitempty"`
+	}
+
+	// Engine describes the model engines of a service.
+	Engine struct {
+		Slots      int           `cbor:"1,keyasint"` // requests in one batch
+		Capacity   int           `cbor:"2,keyasint"` // tokens of KV cache
+		TokenBytes int           `cbor:"3,keyasint"` // of KV cache
+		LinkMbps   float64       `cbor:"4,keyasint"`
+		Readers    int           `cbor:"5,keyasint"` // waiting calls for cache events
+		HandleTime time.Duration `cbor:"6,keyasint"` // for which a prefilled prompt is kept
+	}
+
+	// Limits bounds what a caller may send. 0 stands for no bound.
+	Limits struct {
+		HeaderBytes int           `cbor:"1,keyasint"`
+		BodyBytes   int64         `cbor:"2,keyasint"`
+		HeaderTime  time.Duration `cbor:"3,keyasint"`
+		IdleTime    time.Duration `cbor:"4,keyasint"`
+	}
+)
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick returns the service that serves a request; draw lies in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := draw * total
+	for _, t := range r.Targets {
+		at -= t.Weight
+		if at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/wire/quicline/quicline.go
+++ b/wire/quicline/quicline.go
@@ -1,4 +1,5 @@
-// Package quicline is the transport over QUIC with mutual TLS.
+// Package quicline is the transport over QUIC, with mutual TLS or, as
+// "quic-open", with keys that prove nothing.
 //
 // QUIC gives each connection many streams without one blocking another, its
 // own keep-alive and a bound on silence at both ends, which is how a path that
@@ -34,10 +35,16 @@
 )
 
 type (
+	// Security makes the TLS configurations of both ends.
+	Security interface {
+		Server(protocol string, refused func(name string, reason error)) *tls.Config
+		Client(protocol string) *tls.Config
+	}
+
 	// Transport is QUIC with the keys of one process.
 	Transport struct {
-		chain *keys.Chain
-		log   *logrus.Entry
+		security Security
+		log      *logrus.Entry
 	}
 
 	listener struct{ quic *quic.Listener }
@@ -47,6 +54,7 @@
 
 func init() {
 	wire.Transports.Register("quic", build)
+	wire.Transports.Register("quic-open", buildOpen)
 	for _, role := range []string{"entry", "sidecar", "control"} {
 		kernel.AllowSection(role, "keys")
 	}
@@ -65,10 +73,20 @@
 	return New(chain, host.Log), nil
 }
 
-// New returns a transport that proves itself with chain and accepts peers
-// whose certificate the same authority signed. Refused peers are logged.
-func New(chain *keys.Chain, log *logrus.Entry) *Transport {
-	return &Transport{chain: chain, log: log}
+// buildOpen builds a transport whose ends prove nothing to each other.
+func buildOpen(host *kernel.Host) (wire.Transport, error) {
+	throwaway, err := keys.NewThrowaway()
+	if err != nil {
+		return nil, err
+	}
+	return New(throwaway, host.Log), nil
+}
+
+// New returns a transport with the given security. With keys.Chain it proves
+// itself and accepts peers whose certificate the same authority signed.
+// Refused peers are logged.
+func New(security Security, log *logrus.Entry) *Transport {
+	return &Transport{security: security, log: log}
 }
 
 func (t *Transport) refused(name string, reason error) {
@@ -77,7 +95,7 @@
 
 // Listen implements wire.Transport.
 func (t *Transport) Listen(address string) (wire.Listener, error) {
-	l, err := quic.ListenAddr(address, t.chain.Server(protocol, t.refused), config())
+	l, err := quic.ListenAddr(address, t.security.Server(protocol, t.refused), config())
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, fault.No, "listening on %s: %v", address, err)
 	}
@@ -86,7 +104,7 @@
 
 // Dial implements wire.Transport.
 func (t *Transport) Dial(ctx context.Context, address string) (wire.Conn, error) {
-	c, err := quic.DialAddr(ctx, address, t.chain.Client(protocol), config())
+	c, err := quic.DialAddr(ctx, address, t.security.Client(protocol), config())
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, fault.No, "dialling %s: %v", address, err)
 	}
