Refuse at once what would be late, and tell other relays the loads

A relay saw only its own eighth of the work. Ruled out: full prefix caches (22 of 64 million tokens were found kept either way); too few decoding slots (at most 46 of 160 chats).

--- a/control/news.go
+++ b/control/news.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,10 +77,15 @@
 	n.running.Done()
 }
 
-func (n *news) count() int {
+// relays returns the addresses of the relays that follow.
+func (n *news) relays() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.all)
+	known := map[string]bool{}
+	for f := range n.all {
+		known[f.ask.Address] = true
+	}
+	return slices.Sorted(maps.Keys(known))
 }
 
 // Changed implements Watcher.
@@ -135,7 +142,7 @@
 
 // now returns what is known, for a relay that has the routes of a version.
 func (n *news) now(version uint64) message.News {
-	m := message.News{Servers: n.control.heard.List(time.Now()), Relays: n.count()}
+	m := message.News{Servers: n.control.heard.List(time.Now()), Relays: n.relays()}
 	if table := n.control.state.Routes(); table.Version > version {
 		table.Text = nil
 		m.Routes = &table
--- a/message/message.go
+++ b/message/message.go
@@ -11,6 +11,7 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/order"
+	"endivedeck.example/placement"
 	"endivedeck.example/quorum"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -34,6 +35,7 @@
 	MethodCancel   = "cancel"   // entry to sidecar: Cancel, Nothing
 	MethodCall     = "call"     // entry to sidecar: ServiceCall, ServiceAnswer
 	MethodNews     = "news"     // relay to control: Follow, then News one after another
+	MethodLoads    = "loads"    // relay to relay: Loads one after another
 )
 
 // Kinds of backend servers.
@@ -152,6 +154,13 @@
 	Follow struct {
 		Relay   string `cbor:"1,keyasint"`
 		Version uint64 `cbor:"2,keyasint"` // of the routes that it has in force
+		Address string `cbor:"3,keyasint"` // where other relays reach it
+	}
+
+	// Loads tells other relays what one has given to each backend server.
+	Loads struct {
+		Relay string           `cbor:"1,keyasint"` // its address
+		List  []placement.Load `cbor:"2,keyasint"` // those without work are left out
 	}
 
 	// News tells a relay what a control instance knows. Servers is always whole.
@@ -159,7 +168,7 @@
 		Routes  *routes.Table  `cbor:"1,keyasint,omitempty"` // if they are newer than what was sent before
 		Servers []roster.Heard `cbor:"2,keyasint"`
 		Members []string       `cbor:"3,keyasint"` // addresses of the control instances
-		Relays  int            `cbor:"4,keyasint"` // that follow this control instance
+		Relays  []string       `cbor:"4,keyasint"` // addresses of the relays that follow this control instance
 	}
 
 	// Operated answers Operate.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -50,12 +50,20 @@
 	// Result says how a backend server did.
 	Result int
 
+	// Load is what one relay has given to a server and isn't answered yet.
+	Load struct {
+		Server  string        `cbor:"1,keyasint"` // ID
+		Pending time.Duration `cbor:"2,keyasint"` // of reading prompts, as expected
+		Active  int           `cbor:"3,keyasint"`
+	}
+
 	// Ticket is a request's place at one server. End must be called once.
 	Ticket struct {
 		Server roster.Server
 
 		table *Table
 		work  time.Duration // of reading the prompt, as expected
+		queue time.Duration // before it, as expected
 		chat  bool
 		ended bool
 	}
@@ -69,3 +77,11 @@
 	Lost                   // no answer, or a broken one
 	Withdrew               // the caller left, which says nothing of the server
 )
+
+// Withdraw gives a choice back that isn't followed.
+func (c Choice) Withdraw(now time.Time) {
+	if c.Reader != nil {
+		c.Reader.End(now, Outcome{Result: Withdrew})
+	}
+	c.Runner.End(now, Outcome{Result: Withdrew})
+}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -11,11 +11,16 @@
 )
 
 const (
-	readRate    = 350.0 // prompt tokens read in a millisecond; the engines' sheets say 331 to 419
-	decodeShare = 0.5   // of that rate at an engine that generates
-	stepTime    = time.Millisecond
-	moveTime    = 3 * time.Millisecond // to hand a prompt's KV cache to another engine, with the second call
-	farTime     = time.Millisecond     // more, between failure domains
+	// A prompt's reading as the engines' sheets have it. How much a server
+	// differs is learnt.
+	readRate    = 400.0                  // tokens in a millisecond
+	decodeShare = 0.3                    // of that rate at an engine that generates meanwhile: half, in small pieces between its steps
+	pairTime    = 65 * time.Nanosecond   // for each thousand pairs of a new token and one before it
+	firstTime   = 3 * time.Millisecond   // besides, for each prompt
+	stepTime    = 700 * time.Microsecond // of generating one token
+
+	moveTime = 3 * time.Millisecond // to hand a prompt's KV cache to another engine, with the second call
+	farTime  = time.Millisecond     // more, between failure domains
 
 	chatTokens = 1024 // a prompt up to this size is read in one piece between two steps
 
@@ -36,15 +41,15 @@
 	chain := ask.chain()
 	for _, s := range able {
 		if s.Stage == roster.Prefill {
-			if cost := s.readCost(now, ask, chain, able); !ask.Direct && !ask.isChat() && (reader == nil || cost < readerCost) {
+			if cost := t.readCost(now, s, ask, chain, able); !ask.Direct && !ask.isChat() && (reader == nil || cost < readerCost) {
 				reader, readerCost = s, cost
 			}
 			continue
 		}
-		if cost := s.readCost(now, ask, chain, able); whole == nil || cost < wholeCost {
+		if cost := t.readCost(now, s, ask, chain, able); whole == nil || cost < wholeCost {
 			whole, wholeCost = s, cost
 		}
-		if cost := s.runCost(now, ask); runner == nil || cost < runnerCost {
+		if cost := t.runCost(now, s, ask); runner == nil || cost < runnerCost {
 			runner, runnerCost = s, cost
 		}
 	}
@@ -80,17 +85,24 @@
 }
 
 // readCost is the time until the prompt is read at the server.
-func (s *server) readCost(now time.Time, ask Ask, chain []uint64, all []*server) time.Duration {
-	return s.queue(now) + s.work(now, ask, chain, all) + s.far(ask)
+func (t *Table) readCost(now time.Time, s *server, ask Ask, chain []uint64, all []*server) time.Duration {
+	return t.queue(now, s) + s.work(now, ask, chain, all) + s.far(ask)
 }
 
 // runCost is the time until an engine that gets the KV cache generates.
-func (s *server) runCost(now time.Time, ask Ask) time.Duration {
-	return s.queue(now) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
+func (t *Table) runCost(now time.Time, s *server, ask Ask) time.Duration {
+	return t.queue(now, s) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
+}
+
+// queue is the time that a request waits at a server.
+func (t *Table) queue(now time.Time, s *server) time.Duration {
+	return t.pending(now, s) + s.waitNow(now)
 }
 
-func (s *server) queue(now time.Time) time.Duration {
-	return s.pending + s.waitNow(now)
+// pending is the work that all relays have given to a server.
+func (t *Table) pending(now time.Time, s *server) time.Duration {
+	elsewhere, _ := t.elsewhere(now, s.ID)
+	return s.pending + elsewhere
 }
 
 func (s *server) far(ask Ask) time.Duration {
@@ -111,7 +123,8 @@
 	if s.Stage == roster.Decode {
 		rate *= decodeShare
 	}
-	return time.Duration(s.slow * max(tokens, 1) / rate * float64(time.Millisecond))
+	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(ask.Tokens)/1000*float64(pairTime)
+	return time.Duration(s.slow * took)
 }
 
 func (s *server) miss(now time.Time, place int, name uint64, all []*server) float64 {
--- a/placement/table.go
+++ b/placement/table.go
@@ -15,10 +15,12 @@
 	failRestMax = 4 * time.Second        // a server that is back is found this soon
 	busyRest    = 50 * time.Millisecond  // after a refusal: about the work of a few requests
 	waitHalf    = 150 * time.Millisecond // in which what was learnt of a queue loses half of its weight
+	toldTime    = 300 * time.Millisecond // for which the word of another relay counts
 	heldTime    = 6 * time.Second        // for which a shared part is expected to stay in memory
 
-	learnRate = 0.2 // weight of a new sample in a moving average
-	slowLeast = 0.5 // bounds of how much slower than expected a server may be taken for
+	learnRate = 0.2  // weight of a new sample in a moving average
+	slowRate  = 0.02 // the same, of how slow a server is: some seconds of one relay's samples
+	slowLeast = 0.5  // bounds of how much slower than expected a server may be taken for
 	slowMost  = 20.0
 )
 
@@ -28,7 +30,8 @@
 	Table struct {
 		mu      rank.Mutex
 		servers map[string]*server
-		byName  map[string][]*server // by service, in the order of their IDs
+		byName  map[string][]*server       // by service, in the order of their IDs
+		others  map[string]map[string]told // of servers, by relay
 	}
 
 	server struct {
@@ -46,11 +49,18 @@
 		heard   time.Time     // last sign of life
 		held    map[uint64]time.Time
 	}
+
+	// told is what another relay told of one server.
+	told struct {
+		pending time.Duration
+		active  int
+		at      time.Time
+	}
 )
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{mu: rank.New(rank.Fleet), servers: map[string]*server{}, byName: map[string][]*server{}}
+	return &Table{mu: rank.New(rank.Fleet), servers: map[string]*server{}, byName: map[string][]*server{}, others: map[string]map[string]told{}}
 }
 
 // Update replaces the servers that may get work. What is known of those that
@@ -76,6 +86,43 @@
 	t.byName = byName
 }
 
+// Loads returns what this relay has given to each server.
+func (t *Table) Loads() []Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Load
+	for _, s := range t.servers {
+		if s.active > 0 {
+			list = append(list, Load{Server: s.ID, Pending: s.pending, Active: s.active})
+		}
+	}
+	return list
+}
+
+// Hear takes in what another relay has given to each server.
+func (t *Table) Hear(now time.Time, relay string, list []Load) {
+	loads := make(map[string]told, len(list))
+	for _, l := range list {
+		loads[l.Server] = told{pending: l.Pending, active: l.Active, at: now}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.others[relay] = loads
+}
+
+// elsewhere sums up what other relays have lately given to a server.
+func (t *Table) elsewhere(now time.Time, id string) (pending time.Duration, active int) {
+	for _, loads := range t.others {
+		l, known := loads[id]
+		if !known || now.Sub(l.at) > toldTime {
+			continue
+		}
+		pending += l.pending
+		active += l.active
+	}
+	return pending, active
+}
+
 // Count returns how many servers of a service may get work.
 func (t *Table) Count(service string) int {
 	t.mu.Lock()
@@ -161,6 +208,7 @@
 }
 
 func (t *Table) ticket(now time.Time, s *server, ask Ask, work time.Duration) *Ticket {
+	queue := t.pending(now, s)
 	s.active++
 	s.pending += work
 	chat := len(ask.Prompt) > 0 && ask.isChat()
@@ -170,7 +218,7 @@
 	if s.heard.IsZero() {
 		s.heard = now
 	}
-	return &Ticket{Server: s.Server, table: t, work: work, chat: chat}
+	return &Ticket{Server: s.Server, table: t, work: work, queue: queue, chat: chat}
 }
 
 // Silent returns for how long nothing has come from the ticket's server.
@@ -204,10 +252,18 @@
 	}
 	s.pending = max(s.pending-work, 0)
 	if first > 0 {
-		s.learnWait(now, max(first-work, 0))
+		s.learnWait(now, max(first-work-k.queue, 0))
 	}
 }
 
+// learnSlow compares how long the beginning of an answer took with what was
+// expected.
+func (s *server) learnSlow(took, expected time.Duration) {
+	ratio := min(max(float64(took)/float64(expected), slowLeast), slowMost)
+	s.slow += slowRate * (ratio*s.slow - s.slow)
+	s.slow = min(max(s.slow, slowLeast), slowMost)
+}
+
 func (s *server) learnWait(now time.Time, sample time.Duration) {
 	old := s.waitNow(now)
 	s.wait = old + time.Duration(learnRate*float64(sample-old))
--- a/relay/job.go
+++ b/relay/job.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
-	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
-	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
-	silentTime = time.Second          // without any answer, after which a server counts as lost
+	leastLeft   = 5 * time.Millisecond  // a request isn't sent with less time for its answer
+	spareSends  = 2                     // beyond a route's attempts, after answers that nothing ran
+	handleMost  = 64 << 10              // bytes of the answer to a prompt's reading
+	targetSpare = 30 * time.Millisecond // of a latency objective, for the ways and what isn't foreseen
+	silentTime  = time.Second           // without any answer, after which a server counts as lost
 )
 
 // job is one caller's request.
@@ -48,6 +49,7 @@
 	expect time.Duration // the same, as it was expected at the last choice
 	server string
 	reader string
+	read   time.Duration // that the reader took
 }
 
 // failedAnswer is an answer by which a server told that the request failed.
@@ -142,13 +144,17 @@
 		return err
 	}
 	j.expect = choice.Expect
+	if late := j.late(choice.Expect); late != nil {
+		choice.Withdraw(now)
+		return late
+	}
 	if j.sends == 0 {
 		j.relay.budget.First(now, j.service)
 	}
 	j.sends++
 	send := Send{Left: time.Until(j.until), Last: j.last, Priority: -1}
 	if choice.Reader != nil {
-		err := j.read(choice, &send)
+		err := j.readFirst(choice, &send)
 		if err != nil {
 			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Withdrew})
 			return err
@@ -157,9 +163,18 @@
 	return j.run(choice.Runner, send)
 }
 
-// read has a server read the prompt, and notes in send where its KV cache is.
+// late returns an error if the answer isn't expected to begin in time. A
+// request that is taken on all the same makes others late too.
+func (j *job) late(expect time.Duration) error {
+	if j.route.Kind != routes.Stream || j.sends > 0 || expect <= j.route.Target-targetSpare {
+		return nil
+	}
+	return fault.New(fault.Overloaded, fault.No, "the answer would begin in %v, and is wanted in %v", expect, j.route.Target)
+}
+
+// readFirst has a server read the prompt, and notes in send where its KV cache is.
 // Nothing has run by that.
-func (j *job) read(choice placement.Choice, send *Send) error {
+func (j *job) readFirst(choice placement.Choice, send *Send) error {
 	ticket := choice.Reader
 	j.reader = ticket.Server.ID
 	sent := time.Now()
@@ -171,6 +186,7 @@
 		ticket.End(time.Now(), placement.Outcome{Result: j.resultOf(ticket, err)})
 		return fault.New(fault.Of(err), fault.No, "%s", fault.From(err).Text)
 	}
+	j.read = took
 	ticket.Begun(time.Now(), took)
 	ticket.End(time.Now(), placement.Outcome{Result: placement.Good, First: took})
 	handle, err := j.relay.dialect.Handle(body)
@@ -298,8 +314,12 @@
 	fields["runs"] = j.runs
 	fields["expect"] = j.expect.Milliseconds()
 	fields["first"] = j.first.Milliseconds()
+	if j.ask.Tokens > 0 {
+		fields["tokens"] = j.ask.Tokens
+	}
 	if j.reader != "" {
 		fields["reader"] = j.reader
+		fields["read"] = j.read.Milliseconds()
 	}
 	if err != nil {
 		e := fault.From(err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"endivedeck.example/gate"
 	"endivedeck.example/interval"
 	"endivedeck.example/kernel"
+	"endivedeck.example/message"
 	"endivedeck.example/placement"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
@@ -53,6 +54,7 @@
 	Settings struct {
 		Listen      string            `json:"listen" need:"yes"` // address for callers
 		Ready       string            `json:"ready" need:"yes"`  // address for the question whether it is ready
+		Inner       string            `json:"inner" need:"yes"`  // address for other relays
 		Control     []string          `json:"control" need:"yes"`
 		Transport   string            `json:"transport"`
 		Dialect     string            `json:"dialect" need:"yes"`
@@ -81,11 +83,14 @@
 		ready    *gate.Gate
 		leaving  atomic.Bool
 		relays   atomic.Int64 // that share limits with this one, itself among them
+		listener wire.Listener
+		server   *wire.Server
 		ctx      context.Context
 		stop     context.CancelFunc
 
 		mu      rank.Mutex
 		sources map[string]*source // control instances that are followed, by address
+		mates   map[string]*mate   // other relays that are told loads, by address
 		running sync.WaitGroup
 	}
 )
@@ -123,8 +128,13 @@
 	if err != nil {
 		return nil, err
 	}
+	listener, err := transport.Listen(settings.Inner)
+	if err != nil {
+		return nil, err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &Relay{
+		listener: listener,
 		host:     host,
 		settings: settings,
 		log:      host.Log,
@@ -143,6 +153,7 @@
 		stop:     stop,
 		mu:       rank.New(rank.Control),
 		sources:  map[string]*source{},
+		mates:    map[string]*mate{},
 	}
 	r.relays.Store(1)
 	r.meters = newMeters(host.Metrics, r)
@@ -151,6 +162,9 @@
 
 // Start implements kernel.Role.
 func (r *Relay) Start(context.Context) error {
+	r.server = wire.NewServer(r.listener, r.host.Pool, map[string]wire.Handler{
+		message.MethodLoads: wire.HandlerFunc(r.hearLoads),
+	})
 	r.follow(r.settings.Control)
 	r.running.Add(1)
 	go r.run()
@@ -185,6 +199,7 @@
 	err := r.gate.Stop(ctx)
 	_ = r.ready.Stop(ctx)
 	r.stop()
+	r.server.Close()
 	r.running.Wait()
 	r.client.Close()
 	r.upstream.Close()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -55,7 +55,7 @@
 // listen takes in what the instance tells until the call ends.
 func (s *source) listen(ctx context.Context) error {
 	version, _ := s.relay.view.Version()
-	ask := message.Follow{Relay: s.relay.host.Process.Instance, Version: version}
+	ask := message.Follow{Relay: s.relay.host.Process.Instance, Version: version, Address: s.relay.settings.Inner}
 	call, err := s.relay.client.Open(ctx, s.address, message.MethodNews, ask)
 	if err != nil {
 		return err
@@ -87,8 +87,9 @@
 		r.places.Update(servers)
 		r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
 	}
-	if news.Relays > 0 {
-		r.relays.Store(int64(news.Relays))
+	if n := len(news.Relays); n > 0 {
+		r.relays.Store(int64(n))
+		r.tell(news.Relays)
 	}
 	r.follow(news.Members)
 }
