--- a/placement/placement.go
+++ b/placement/placement.go
@@ -38,6 +38,7 @@
 	Choice struct {
 		Reader *Ticket
 		Runner *Ticket
+		Queue  time.Duration // before the request is begun
 		Expect time.Duration // to the first byte of the answer
 	}
 
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -67,15 +67,18 @@
 		return Choice{}, errNoRunner(ask)
 	case reader != nil && readerCost+moveTime+runnerCost < wholeCost:
 		reader.hold(now, chain)
+		queue := t.queue(now, reader) + t.queue(now, runner)
 		return Choice{
 			Reader: t.ticket(now, reader, ask, reader.work(now, ask, chain, able)),
 			Runner: t.ticket(now, runner, ask, stepTime),
+			Queue:  queue,
 			Expect: readerCost + moveTime + runnerCost,
 		}, nil
 	}
+	queue := t.queue(now, whole) + t.disturbance(now, whole)
 	work := whole.work(now, ask, chain, able)
 	whole.hold(now, chain)
-	return Choice{Runner: t.ticket(now, whole, ask, work), Expect: wholeCost}, nil
+	return Choice{Runner: t.ticket(now, whole, ask, work), Queue: queue, Expect: wholeCost}, nil
 }
 
 // disturbance is what reading a long prompt at an engine costs the answers
@@ -108,7 +111,8 @@
 	}
 	chain := ask.chain()
 	work := best.work(now, ask, chain, able)
-	return Choice{Runner: t.ticket(now, best, ask, work), Expect: t.queue(now, best) + work}, nil
+	queue := t.queue(now, best)
+	return Choice{Runner: t.ticket(now, best, ask, work), Queue: queue, Expect: queue + work}, nil
 }
 
 func (t *Table) chats(now time.Time, s *server) int {
--- a/relay/job.go
+++ b/relay/job.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	leastLeft   = 5 * time.Millisecond  // a request isn't sent with less time for its answer
-	spareSends  = 2                     // beyond a route's attempts, after answers that nothing ran
-	handleMost  = 64 << 10              // bytes of the answer to a prompt's reading
-	targetSpare = 30 * time.Millisecond // of a latency objective, for the ways and what isn't foreseen
-	silentTime  = time.Second           // without any answer, after which a server counts as lost
+	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
+	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
+	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
+	queueShare = 0.55                 // of a latency objective that a request may wait; the rest is for its prompt and the ways
+	silentTime = time.Second          // without any answer, after which a server counts as lost
 )
 
 // job is one caller's request.
@@ -144,7 +144,7 @@
 		return err
 	}
 	j.expect = choice.Expect
-	if late := j.late(choice.Expect); late != nil {
+	if late := j.late(choice.Queue); late != nil {
 		choice.Withdraw(now)
 		return late
 	}
@@ -163,13 +163,16 @@
 	return j.run(choice.Runner, send)
 }
 
-// late returns an error if the answer isn't expected to begin in time. A
-// request that is taken on all the same makes others late too.
-func (j *job) late(expect time.Duration) error {
-	if j.route.Kind != routes.Stream || j.sends > 0 || expect <= j.route.Target-targetSpare {
+// late returns an error if the request would wait so long that its answer isn't
+// expected to begin in time. One that is taken on all the same makes others
+// late too. The time for its own prompt doesn't count, so that no size of
+// requests is refused more often than others.
+func (j *job) late(queue time.Duration) error {
+	most := time.Duration(queueShare * float64(j.route.Target))
+	if j.route.Kind != routes.Stream || j.sends > 0 || queue <= most {
 		return nil
 	}
-	return fault.New(fault.Overloaded, fault.No, "the answer would begin in %v, and is wanted in %v", expect, j.route.Target)
+	return fault.New(fault.Overloaded, fault.No, "the request would wait %v, and its answer is wanted in %v", queue, j.route.Target)
 }
 
 // readFirst has a server read the prompt, and notes in send where its KV cache is.
