Put chats before long prompts at an engine

Cause: when an engine's memory runs out it preempts the newest of the least urgent; all were alike, so that chats were read in again in the middle. Change: chats are sent with a higher priority; a request may wait for 0.7 of its objective, with 0.25 of its own prompt counted.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -28,7 +28,9 @@
 	queueChat = 60 * time.Millisecond // and so does one with more work waiting
 	chatOrder = 0                     // the name by which engines are ordered for chats
 
-	chatTokens = 1024 // a prompt up to this size is read in one piece between two steps
+	// ChatTokens is the size of the longest prompt of a chat. A prompt up to
+	// this size is read in one piece between two steps.
+	ChatTokens = 1024
 
 	// Chances that a shared part has to be read again.
 	missFirst = 0.05 // the first part, which few prompts differ in
@@ -38,7 +40,7 @@
 )
 
 // isChat reports whether what counts is how evenly the answer comes.
-func (a *Ask) isChat() bool { return a.Tokens <= chatTokens }
+func (a *Ask) isChat() bool { return a.Tokens <= ChatTokens }
 
 // choosePrompt takes the engine, or the two, by which the answer begins first.
 func (t *Table) choosePrompt(now time.Time, ask Ask, able []*server) (Choice, error) {
--- a/relay/job.go
+++ b/relay/job.go
@@ -19,8 +19,11 @@
 	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
 	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
 	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
-	queueShare = 0.55                 // of a latency objective that a request may wait; the rest is for its prompt and the ways
-	silentTime = time.Second          // without any answer, after which a server counts as lost
+	waitShare  = 0.7                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
+	ownShare   = 0.25                 // of the time for its own prompt that counts as waiting
+	urgent     = 1                    // priorities at an engine; 0 goes first
+	ordinary   = 5
+	silentTime = time.Second // without any answer, after which a server counts as lost
 )
 
 // job is one caller's request.
@@ -144,7 +147,7 @@
 		return err
 	}
 	j.expect = choice.Expect
-	if late := j.late(choice.Queue); late != nil {
+	if late := j.late(choice); late != nil {
 		choice.Withdraw(now)
 		return late
 	}
@@ -152,7 +155,7 @@
 		j.relay.budget.First(now, j.service)
 	}
 	j.sends++
-	send := Send{Left: time.Until(j.until), Last: j.last, Priority: -1}
+	send := Send{Left: time.Until(j.until), Last: j.last, Priority: j.priority()}
 	if choice.Reader != nil {
 		err := j.readFirst(choice, &send)
 		if err != nil {
@@ -163,16 +166,29 @@
 	return j.run(choice.Runner, send)
 }
 
+// priority puts answers that take long before long prompts: what was generated
+// for them already would have to be read again.
+func (j *job) priority() int {
+	switch {
+	case len(j.ask.Prompt) == 0:
+		return -1
+	case j.ask.Tokens <= placement.ChatTokens:
+		return urgent
+	}
+	return ordinary
+}
+
 // late returns an error if the request would wait so long that its answer isn't
 // expected to begin in time. One that is taken on all the same makes others
-// late too. The time for its own prompt doesn't count, so that no size of
-// requests is refused more often than others.
-func (j *job) late(queue time.Duration) error {
-	most := time.Duration(queueShare * float64(j.route.Target))
-	if j.route.Kind != routes.Stream || j.sends > 0 || queue <= most {
+// late too. The time for its own prompt counts little, so that no size of
+// requests is refused much more often than others.
+func (j *job) late(c placement.Choice) error {
+	most := time.Duration(waitShare * float64(j.route.Target))
+	wait := c.Queue + time.Duration(ownShare*float64(c.Expect-c.Queue))
+	if j.route.Kind != routes.Stream || j.sends > 0 || wait <= most {
 		return nil
 	}
-	return fault.New(fault.Overloaded, fault.No, "the request would wait %v, and its answer is wanted in %v", queue, j.route.Target)
+	return fault.New(fault.Overloaded, fault.No, "the request would wait %v, and its answer is wanted in %v", c.Queue, j.route.Target)
 }
 
 // readFirst has a server read the prompt, and notes in send where its KV cache is.
