Remove control instances that are gone for good, and take removed ones back

Cause: a core machine that is replaced by another at a new address stayed a voter for ever; after the second one two of the then six voters were dead and the loss of one more left no majority. Found by reading; TestSeeds fails without the change (at the last step nothing is acknowledged any more). Ruled out: counting on the same address coming back, which only a lost disk does. Change: a leader removes a replica that has been quiet for 3 s if three voters that answer stay; a replica that knows no leader for 2 s asks to be taken in.

--- a/control/bed_test.go
+++ b/control/bed_test.go
@@ -89,12 +89,18 @@
 }
 
 func (b *bed) start(name string, disk *wal.Memory) *instance {
+	b.t.Helper()
+	return b.startAs(name, foundSurvey, disk)
+}
+
+// startAs starts an instance that does as founding says if its disk is empty.
+func (b *bed) startAs(name, founding string, disk *wal.Memory) *instance {
 	b.t.Helper()
 	process := kernel.DefaultProcess()
 	process.Instance = name
 	workers := pool.New(64, 1024)
 	host := &kernel.Host{Process: process, Log: quiet(), Metrics: metrics.NewSet(), Pool: workers}
-	c, err := New(host, Settings{Listen: name, Founders: b.founders, Snapshot: 100, Roles: b.roles}, b.network.Transport(name))
+	c, err := New(host, Settings{Listen: name, Founders: b.founders, Founding: founding, Snapshot: 100, Roles: b.roles}, b.network.Transport(name))
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/control/founding.go
+++ b/control/founding.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -164,12 +165,11 @@
 	if err := f.control.startReplica(ctx, f.identity, f.state); err != nil {
 		return err
 	}
-	member := quorum.Member{ID: f.identity.ID, Instance: f.identity.Instance, Address: f.control.settings.Listen}
 	for i := 0; ; i++ {
 		if f.taken() {
 			return nil
 		}
-		f.askToJoin(ctx, i, member)
+		f.askToJoin(ctx, i, f.member())
 		if !interval.Wait(ctx, joinPause) {
 			return ctx.Err()
 		}
@@ -177,8 +177,8 @@
 }
 
 func (f *founding) askToJoin(ctx context.Context, i int, member quorum.Member) {
-	founders := f.control.settings.Founders
-	address := founders[i%len(founders)].Address
+	known := f.addresses()
+	address := known[i%len(known)]
 	if address == f.control.settings.Listen {
 		return
 	}
@@ -191,6 +191,30 @@
 	}
 }
 
+// addresses returns where others may be: the founders, and the members that
+// this replica knows of.
+func (f *founding) addresses() []string {
+	var known []string
+	for _, founder := range f.control.settings.Founders {
+		known = append(known, founder.Address)
+	}
+	if replica := f.replica.Load(); replica != nil {
+		for _, m := range replica.Lead().Status.Members {
+			if !slices.Contains(known, m.Address) {
+				known = append(known, m.Address)
+			}
+		}
+	}
+	return known
+}
+
+// member returns this instance as a replica.
+func (f *founding) member() quorum.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return quorum.Member{ID: f.identity.ID, Instance: f.identity.Instance, Address: f.control.settings.Listen}
+}
+
 // taken reports whether this replica finds itself among the members.
 func (f *founding) taken() bool {
 	status := f.replica.Load().Lead().Status
--- a/control/warden.go
+++ b/control/warden.go
@@ -13,21 +13,34 @@
 const (
 	wardenPause = 500 * time.Millisecond
 	wardenTime  = 2 * time.Second
+
+	// quietTime is the silence after which a replica that can be spared is
+	// removed: some elections, and less than the time in which the loss of
+	// another one has to be borne again.
+	quietTime   = 3 * time.Second
+	sparedLeast = 3 // voters that answer and stay, so that the loss of one is borne
+
+	// rejoinTime is the time without a leader after which a replica asks to be
+	// taken in, since it may have been removed.
+	rejoinTime = 2 * time.Second
 )
 
-// warden makes voters of the learners that have caught up, while its replica
-// leads. A learner takes the place of the voter that its instance was before
+// warden removes replicas that are gone and makes voters of the learners that
+// have caught up, while its replica leads. A learner takes the place of the voter that its instance was before
 // it lost its disk: that voter is removed first, so the number of voters never
 // grows by one that doesn't answer.
 type warden struct {
 	control *Control
 	replica *quorum.Replica
+	led     time.Time // when this replica last knew a leader
+	asked   int       // how often it has asked to be taken in
 }
 
 // run ends with ctx, or with the replica's failure.
 func (w *warden) run(ctx context.Context) {
 	ticker := time.NewTicker(wardenPause)
 	defer ticker.Stop()
+	w.led = time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -38,10 +51,24 @@
 			return
 		case <-ticker.C:
 			w.promote(ctx)
+			w.rejoin(ctx)
 		}
 	}
 }
 
+// rejoin asks to be taken in again, under the same identity, which this
+// replica's log is whole for, when it has known no leader for a while.
+func (w *warden) rejoin(ctx context.Context) {
+	if w.replica.Lead().Leader.ID != "" {
+		w.led = time.Now()
+	}
+	if time.Since(w.led) < rejoinTime {
+		return
+	}
+	w.control.founding.askToJoin(ctx, w.asked, w.control.founding.member())
+	w.asked++
+}
+
 func (w *warden) promote(ctx context.Context) {
 	lead := w.replica.Lead()
 	if !lead.Leading {
@@ -49,12 +76,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wardenTime)
 	defer cancel()
-	next, ok := quorum.Promotion(lead.Status.Members, func(id string) bool {
-		return w.replica.CaughtUp(ctx, id)
+	next, ok := quorum.Retirement(lead.Status.Members, sparedLeast, func(id string) bool {
+		return w.replica.Quiet(ctx, id) > quietTime
 	})
-	if !ok {
+	if ok {
+		w.reconfigure(ctx, next)
 		return
 	}
+	next, ok = quorum.Promotion(lead.Status.Members, func(id string) bool {
+		return w.replica.CaughtUp(ctx, id)
+	})
+	if ok {
+		w.reconfigure(ctx, next)
+	}
+}
+
+func (w *warden) reconfigure(ctx context.Context, next []quorum.Member) {
 	entry := w.control.log.WithField("members", memberIDs(next))
 	if err := w.replica.Reconfigure(ctx, next); err != nil {
 		entry.WithField("error", err.Error()).Warn("change of members failed")
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -53,6 +53,7 @@
 		progress    map[string]*progress
 		beat        time.Time // when the next heartbeat is due
 		confirmed   time.Time // a majority heard this leader at this time or later
+		ledSince    time.Time // when this replica last began to lead
 		ownTermFrom uint64    // index of the Empty entry of this leader's term
 		self        selfProgress
 
@@ -150,6 +151,7 @@
 	}
 	c.resetDeadline(now)
 	c.votes = nil
+	c.leader = ""
 	if c.voter(c.id) {
 		c.campaign(now, preCandidate, false)
 	}
@@ -252,6 +254,19 @@
 	return true
 }
 
+// Quiet returns for how long a replica hasn't answered this leader.
+func (c *Core) Quiet(now time.Time, id string) time.Duration {
+	p := c.progress[id]
+	if p == nil {
+		return 0
+	}
+	since := c.ledSince
+	if p.acked.After(since) {
+		since = p.acked
+	}
+	return now.Sub(since)
+}
+
 // CaughtUp reports whether a replica holds all that is committed.
 func (c *Core) CaughtUp(id string) bool {
 	p := c.progress[id]
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "slices"
+
 // Promotion returns the members with one learner that has caught up made a
 // voter, and false when there is none. A learner takes the place of the voter
 // that its instance was before it lost its disk; since one voter changes at a
@@ -19,6 +21,28 @@
 	return nil, false
 }
 
+// Retirement returns the members without one that is quiet, and false when
+// there is none to spare: keep voters that answer stay. A machine that was
+// taken away for good would else count against every majority for ever. One
+// that comes back all the same joins again.
+func Retirement(members []Member, keep int, quiet func(id string) bool) ([]Member, bool) {
+	answering := 0
+	for _, m := range members {
+		if m.Voter && !quiet(m.ID) {
+			answering++
+		}
+	}
+	if answering < keep {
+		return nil, false
+	}
+	for i, m := range members {
+		if quiet(m.ID) {
+			return append(slices.Clone(members[:i]), members[i+1:]...), true
+		}
+	}
+	return nil, false
+}
+
 // Joining returns the members with a new learner. Learners of the same
 // instance that came before it are dropped. It returns false when the learner
 // is a member already.
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -75,6 +75,11 @@
 		id     string
 		answer chan bool
 	}
+
+	quiet struct {
+		id     string
+		answer chan time.Duration
+	}
 )
 
 // New starts a replica with the state that its keeper gave back.
@@ -149,18 +154,30 @@
 // CaughtUp reports whether, by what this leader knows, another replica holds
 // all that is committed.
 func (r *Replica) CaughtUp(ctx context.Context, id string) bool {
-	q := caughtUp{id: id, answer: make(chan bool, 1)}
-	if err := r.post(ctx, q); err != nil {
-		return false
+	answer := make(chan bool, 1)
+	return ask(ctx, r, caughtUp{id: id, answer: answer}, answer)
+}
+
+// Quiet returns for how long another replica hasn't answered this leader; 0
+// for one that isn't known, and when this replica can't say.
+func (r *Replica) Quiet(ctx context.Context, id string) time.Duration {
+	answer := make(chan time.Duration, 1)
+	return ask(ctx, r, quiet{id: id, answer: answer}, answer)
+}
+
+// ask posts a question and returns its answer, or the zero value.
+func ask[T any](ctx context.Context, r *Replica, question any, answer <-chan T) T {
+	var zero T
+	if err := r.post(ctx, question); err != nil {
+		return zero
 	}
 	select {
-	case ok := <-q.answer:
-		return ok
+	case value := <-answer:
+		return value
 	case <-r.ended:
-		return false
 	case <-ctx.Done():
-		return false
 	}
+	return zero
 }
 
 // Failed yields the error that ended the replica, such as one of its disk.
@@ -257,6 +274,8 @@
 		r.leaving = item
 	case caughtUp:
 		item.answer <- r.core.CaughtUp(item.id)
+	case quiet:
+		item.answer <- r.core.Quiet(now, item.id)
 	}
 }
 
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -343,6 +343,7 @@
 	c.leader = c.id
 	c.votes = nil
 	c.confirmed = now
+	c.ledSince = now
 	c.progress = map[string]*progress{}
 	c.ownTermFrom = c.append(Entry{Kind: Empty})
 	c.reconfigured()
