--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -22,6 +22,8 @@
 	moveTime = 3 * time.Millisecond // to hand a prompt's KV cache to another engine, with the second call
 	farTime  = time.Millisecond     // more, between failure domains
 
+	beingRead = 5 * time.Millisecond // of a prompt's reading, before which a more urgent request goes
+
 	chatFill  = 0.6                   // of an engine's slots that chats take before the next engine gets some
 	chatDelay = 3 * time.Millisecond  // by which a long prompt's reading delays each chat beside it, weighed against the prompt's own time
 	slowChat  = 2.5                   // an engine that is slower gets chats last
@@ -69,7 +71,7 @@
 		return Choice{}, errNoRunner(ask)
 	case reader != nil && readerCost+moveTime+runnerCost < wholeCost:
 		reader.hold(now, chain)
-		queue := t.queue(now, reader) + t.queue(now, runner)
+		queue := t.queue(now, reader) + min(t.queue(now, runner), beingRead)
 		return Choice{
 			Reader: t.ticket(now, reader, ask, reader.work(now, ask, chain, able)),
 			Runner: t.ticket(now, runner, ask, stepTime),
@@ -146,9 +148,10 @@
 	return t.queue(now, s) + s.work(now, ask, chain, all) + s.far(ask)
 }
 
-// runCost is the time until an engine that gets the KV cache generates.
+// runCost is the time until an engine that gets the KV cache generates. The
+// request goes before prompts that wait there, but for one that is being read.
 func (t *Table) runCost(now time.Time, s *server, ask Ask) time.Duration {
-	return t.queue(now, s) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
+	return min(t.queue(now, s), beingRead) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
 }
 
 // queue is the time that a request waits at a server.
--- a/placement/table.go
+++ b/placement/table.go
@@ -15,6 +15,7 @@
 	failRestMax = 4 * time.Second        // a server that is back is found this soon
 	busyRest    = 50 * time.Millisecond  // after a refusal: about the work of a few requests
 	waitHalf    = 150 * time.Millisecond // in which what was learnt of a queue loses half of its weight
+	errorHalf   = 2 * time.Second        // the same, of failures
 	toldTime    = 300 * time.Millisecond // for which the word of another relay counts
 	heldTime    = 6 * time.Second        // for which a shared part is expected to stay in memory
 
@@ -43,10 +44,11 @@
 		waitAt  time.Time
 		slow    float64       // how much longer than expected it takes
 		latency time.Duration // of requests without prompts, moving average
-		errors  float64       // moving average of failures
-		fails   int           // in a row
-		rest    time.Time     // it gets no work before
-		heard   time.Time     // last sign of life
+		errors  float64       // moving average of failures, as of errorAt
+		errorAt time.Time
+		fails   int       // in a row
+		rest    time.Time // it gets no work before
+		heard   time.Time // last sign of life
 		held    map[uint64]time.Time
 	}
 
@@ -175,13 +177,13 @@
 func (t *Table) choosePlain(now time.Time, ask Ask, able []*server) (Choice, error) {
 	const unknown = 30 * time.Millisecond // of a server that hasn't answered yet
 	best := slices.MinFunc(able, func(a, b *server) int {
-		return compare(a.plainCost(ask, unknown), b.plainCost(ask, unknown))
+		return compare(a.plainCost(now, ask, unknown), b.plainCost(now, ask, unknown))
 	})
-	cost := best.plainCost(ask, unknown)
+	cost := best.plainCost(now, ask, unknown)
 	return Choice{Runner: t.ticket(now, best, ask, 0), Expect: time.Duration(cost)}, nil
 }
 
-func (s *server) plainCost(ask Ask, unknown time.Duration) float64 {
+func (s *server) plainCost(now time.Time, ask Ask, unknown time.Duration) float64 {
 	const (
 		errorWeight = 4.0 // a failure costs about as much as a few answers
 		farCost     = float64(time.Millisecond)
@@ -190,7 +192,7 @@
 	if latency == 0 {
 		latency = unknown
 	}
-	cost := float64(latency) * float64(1+s.active) * (1 + errorWeight*s.errors)
+	cost := float64(latency) * float64(1+s.active) * (1 + errorWeight*s.errorsNow(now))
 	if s.Domain != ask.Domain {
 		cost += farCost
 	}
@@ -273,11 +275,7 @@
 // waitNow returns the wait in the queue as learnt, which counts less as it
 // gets older.
 func (s *server) waitNow(now time.Time) time.Duration {
-	if s.wait == 0 {
-		return 0
-	}
-	age := float64(now.Sub(s.waitAt)) / float64(waitHalf)
-	return time.Duration(float64(s.wait) * math.Exp2(-age))
+	return time.Duration(faded(float64(s.wait), now.Sub(s.waitAt), waitHalf))
 }
 
 // End gives the place back.
@@ -305,22 +303,42 @@
 	case Good:
 		s.heard = now
 		s.fails = 0
-		s.errors -= learnRate * s.errors
+		s.learnError(now, 0)
 		s.learnLatency(o.First)
 	case Failed:
 		s.heard = now
-		s.errors += learnRate * (1 - s.errors)
+		s.learnError(now, 1)
 		s.learnLatency(o.First)
 	case Busy:
 		s.heard = now
 		s.restFor(now, busyRest)
 	case Lost:
-		s.errors += learnRate * (1 - s.errors)
+		s.learnError(now, 1)
 		s.fails++
 		s.restFor(now, min(failRest<<min(s.fails-1, 4), failRestMax))
 	}
 }
 
+func (s *server) learnError(now time.Time, sample float64) {
+	old := s.errorsNow(now)
+	s.errors = old + learnRate*(sample-old)
+	s.errorAt = now
+}
+
+// errorsNow returns the average of failures, which counts less as it gets
+// older, so that a server is tried again.
+func (s *server) errorsNow(now time.Time) float64 {
+	return faded(s.errors, now.Sub(s.errorAt), errorHalf)
+}
+
+// faded returns a value that loses half of its weight in each half.
+func faded(value float64, age, half time.Duration) float64 {
+	if value == 0 {
+		return 0
+	}
+	return value * math.Exp2(-float64(age)/float64(half))
+}
+
 func (s *server) restFor(now time.Time, length time.Duration) {
 	if until := now.Add(length); until.After(s.rest) {
 		s.rest = until
--- /dev/null
+++ b/relay/bed_test.go
@@ -0,0 +1,267 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/kernel"
+	"endivedeck.example/message"
+	_ "endivedeck.example/platform" // the dialect
+	"endivedeck.example/pool"
+	"endivedeck.example/relay"
+	"endivedeck.example/roster"
+	"endivedeck.example/routes"
+	"endivedeck.example/settings"
+	"endivedeck.example/wire"
+	"endivedeck.example/wire/memory"
+)
+
+type (
+	// bed is a relay before backend servers on loopback, with a control
+	// instance that tells what the test wants.
+	bed struct {
+		t       *testing.T
+		relay   *relay.Relay
+		servers []*backend
+		news    message.News
+		workers *pool.Pool
+	}
+
+	// backend is a backend server that answers by a script, one step for each
+	// request, the last again and again.
+	backend struct {
+		name     string
+		stage    roster.Stage
+		script   []string
+		listener net.Listener
+
+		mu       sync.Mutex
+		next     int
+		requests []string
+		gone     chan struct{} // closed when a caller left before the answer
+		once     sync.Once
+	}
+)
+
+// newBed starts backend servers and a relay that knows them and the routes.
+func newBed(t *testing.T, list []routes.Route, servers ...*backend) *bed {
+	t.Helper()
+	b := &bed{t: t, servers: servers, workers: pool.New(64, 64)}
+	b.news.Routes = &routes.Table{Version: 5, Services: []routes.Service{{Name: "assist"}}, Routes: list, Limits: routes.Limits{BodyBytes: 1 << 20}}
+	b.news.Relays = []string{"relay"}
+	for _, s := range servers {
+		s.start(t)
+		b.news.Servers = append(b.news.Servers, roster.Heard{Server: roster.Server{
+			ID: s.name, Service: "assist", Address: s.listener.Addr().String(), Born: 1, Seq: 1, Slots: 8, Stage: s.stage,
+		}})
+	}
+	network := memory.New()
+	listener, err := network.Transport("control").Listen("control")
+	if err != nil {
+		t.Fatal(err)
+	}
+	control := wire.NewServer(listener, b.workers, map[string]wire.Handler{message.MethodNews: wire.HandlerFunc(b.tell)})
+	b.relay = b.newRelay(network)
+	if err := b.relay.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := b.relay.Stop(ctx); err != nil {
+			t.Errorf("stopping: %v", err)
+		}
+		control.Close()
+	})
+	b.await()
+	return b
+}
+
+func (b *bed) newRelay(network *memory.Network) *relay.Relay {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	process := kernel.DefaultProcess()
+	process.Instance = "relay"
+	host := &kernel.Host{Process: process, Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(), Pool: b.workers}
+	s := relay.DefaultSettings()
+	s.Listen = "127.0.0.1:0"
+	s.Ready = "127.0.0.1:0"
+	s.Inner = "relay"
+	s.Control = []string{"control"}
+	s.Dialect = "provider"
+	s.Grace = settings.Duration(0)
+	s.Silence = settings.Duration(time.Minute)
+	r, err := relay.New(host, s, network.Transport("relay"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return r
+}
+
+// tell serves message.MethodNews.
+func (b *bed) tell(x *wire.Exchange) {
+	if err := x.Send(b.news); err != nil {
+		x.End()
+	}
+}
+
+// await waits until the relay knows the routes and the servers.
+func (b *bed) await() {
+	b.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for time.Now().Before(deadline) {
+		if b.relay.Knows("assist") >= len(b.servers) {
+			return
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	b.t.Fatal("the relay doesn't know the servers")
+}
+
+// ask sends a request as a caller does, and returns the answer as text.
+func (b *bed) ask(method, path, header, body string) string {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.relay.Address())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: r1\r\n%sContent-Length: %d\r\n\r\n%s", method, path, header, len(body), body)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "no answer: " + err.Error()
+	}
+	text, err := io.ReadAll(response.Body)
+	whole := "whole"
+	if err != nil {
+		whole = "broken off"
+	}
+	var extra string
+	for _, name := range []string{"Response-Signature", "Retry-After"} {
+		if value := response.Header.Get(name); value != "" {
+			extra += fmt.Sprintf(" %s=%s", name, value)
+		}
+	}
+	return fmt.Sprintf("%d%s %q %s", response.StatusCode, extra, text, whole)
+}
+
+// seen returns the requests that each server got.
+func (b *bed) seen() string {
+	var text strings.Builder
+	for _, s := range b.servers {
+		s.mu.Lock()
+		fmt.Fprintf(&text, "    %s: %v\n", s.name, s.requests)
+		s.mu.Unlock()
+	}
+	return text.String()
+}
+
+func (s *backend) start(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener = listener
+	s.gone = make(chan struct{})
+	go s.run()
+	t.Cleanup(func() { _ = listener.Close() })
+}
+
+func (s *backend) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(c)
+	}
+}
+
+func (s *backend) loop(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		step := s.take(r)
+		switch step {
+		case "drop":
+			return
+		case "hang":
+			_, _ = in.ReadByte() // until the caller leaves
+			s.once.Do(func() { close(s.gone) })
+			return
+		}
+		text, broken := strings.CutSuffix(step, "<cut>")
+		if _, err := io.WriteString(c, text); err != nil || broken {
+			return
+		}
+	}
+}
+
+// take notes a request and returns the step that answers it.
+func (s *backend) take(r *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line := r.Method + " " + r.RequestURI
+	for _, name := range []string{"Stage", "Kv-Source", "Last-Event-Id", "Request-Priority", "Kv-Hold"} {
+		if value := r.Header.Get(name); value != "" {
+			line += " " + name + "=" + value[strings.LastIndex(value, "/")+1:]
+		}
+	}
+	if got := r.Header.Get("Target-Instance"); got != s.name && r.Method != http.MethodDelete {
+		line += " for " + got
+	}
+	s.requests = append(s.requests, line)
+	step := s.script[min(s.next, len(s.script)-1)]
+	s.next++
+	return step
+}
+
+// plain returns a whole answer with a signature.
+func plain(status int, body string, header ...string) string {
+	lines := append([]string{fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status)), "Request-Id: r1", "Response-Signature: s", fmt.Sprintf("Content-Length: %d", len(body))}, header...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+// stream returns an answer of the given events, without its end if broken.
+func stream(events ...string) string {
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, e := range events {
+		if e == "<cut>" {
+			return text.String() + e
+		}
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(e), e)
+	}
+	return text.String() + "0\r\n\r\n"
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+func route(kind routes.Kind, attempts int, resumable bool) []routes.Route {
+	r := routes.Route{
+		Name: "r", Host: "crews.example", Prefix: "/a/", Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
+		Target: 150 * time.Millisecond, Attempts: attempts, Targets: []routes.Target{{Service: "assist", Weight: 1}},
+	}
+	return slices.Clone([]routes.Route{r})
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -22,6 +22,7 @@
 	waitShare  = 0.7                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
 	ownShare   = 0.25                 // of the time for its own prompt that counts as waiting
 	urgent     = 1                    // priorities at an engine; 0 goes first
+	handed     = 3
 	ordinary   = 5
 	silentTime = time.Second // without any answer, after which a server counts as lost
 )
@@ -155,7 +156,7 @@
 		j.relay.budget.First(now, j.service)
 	}
 	j.sends++
-	send := Send{Left: time.Until(j.until), Last: j.last, Priority: j.priority()}
+	send := Send{Left: time.Until(j.until), Last: j.last}
 	if choice.Reader != nil {
 		err := j.readFirst(choice, &send)
 		if err != nil {
@@ -168,12 +169,16 @@
 
 // priority puts answers that take long before long prompts: what was generated
 // for them already would have to be read again.
-func (j *job) priority() int {
+// A prompt that was read elsewhere needs little more, and goes before those
+// that weren't.
+func (j *job) priority(send Send) int {
 	switch {
 	case len(j.ask.Prompt) == 0:
 		return -1
 	case j.ask.Tokens <= placement.ChatTokens:
 		return urgent
+	case send.Handle != "":
+		return handed
 	}
 	return ordinary
 }
@@ -274,6 +279,7 @@
 }
 
 func (j *job) send(ctx context.Context, send Send) (*upstream.Answer, error) {
+	send.Priority = j.priority(send)
 	limit := 0
 	if s := j.relay.view.Service(j.service); s != nil && s.Connections > 0 {
 		limit = max(s.Connections/int(j.relay.relays.Load()+1), 1) // one part is left for relays that come
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -246,3 +246,12 @@
 	}
 	_, _ = w.Write([]byte("ready\n"))
 }
+
+// Knows returns how many backend servers of a service may get work; 0 while
+// no routes are in force.
+func (r *Relay) Knows(service string) int {
+	if _, known := r.view.Version(); !known {
+		return 0
+	}
+	return r.places.Count(service)
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -136,7 +136,17 @@
 	}
 	a.begun = true
 	a.w.WriteHeader(a.status)
-	_, _ = a.w.Write([]byte(e.Text + "\n")) // a caller that is gone needs no answer
+	_, _ = a.w.Write([]byte(explain(e) + "\n")) // a caller that is gone needs no answer
+}
+
+// explain returns what a caller is told. What is inside of the system, such as
+// addresses, stays in the log.
+func explain(e *fault.Error) string {
+	switch e.Kind {
+	case fault.Malformed, fault.NotFound, fault.TooLarge:
+		return e.Text
+	}
+	return string(e.Kind)
 }
 
 // promises reports whether a status says that the request hasn't run.
