--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// A prompt's reading as the engines' sheets have it. How much a server
-	// differs is learnt.
+	// A prompt's reading as the engines' sheets have it. What it takes longer
+	// is learnt as a wait.
 	readRate    = 400.0                  // tokens in a millisecond
 	decodeShare = 0.3                    // of that rate at an engine that generates meanwhile: half, in small pieces between its steps
 	pairTime    = 65 * time.Nanosecond   // for each thousand pairs of a new token and one before it
@@ -26,8 +26,7 @@
 
 	chatFill  = 0.6                   // of an engine's slots that chats take before the next engine gets some
 	chatDelay = 3 * time.Millisecond  // by which a long prompt's reading delays each chat beside it, weighed against the prompt's own time
-	slowChat  = 2.5                   // an engine that is slower gets chats last
-	queueChat = 60 * time.Millisecond // and so does one with more work waiting
+	queueChat = 60 * time.Millisecond // an engine with more work waiting gets chats last
 	chatOrder = 0                     // the name by which engines are ordered for chats
 
 	// ChatTokens is the size of the longest prompt of a chat. A prompt up to
@@ -102,7 +101,7 @@
 			continue
 		}
 		fill := max(float64(t.chats(now, s))/float64(max(s.Slots, 1)), chatFill)
-		if s.slow > slowChat || t.queue(now, s) > queueChat {
+		if t.queue(now, s) > queueChat {
 			fill++ // only where all engines are so
 		}
 		weight := s.weigh(chatOrder)
@@ -184,7 +183,7 @@
 		rate *= decodeShare
 	}
 	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(ask.Tokens)/1000*float64(pairTime)
-	return time.Duration(s.slow * took)
+	return time.Duration(took)
 }
 
 func (s *server) miss(now time.Time, place int, name uint64, all []*server) float64 {
--- a/placement/table.go
+++ b/placement/table.go
@@ -19,10 +19,7 @@
 	toldTime    = 300 * time.Millisecond // for which the word of another relay counts
 	heldTime    = 6 * time.Second        // for which a shared part is expected to stay in memory
 
-	learnRate = 0.2  // weight of a new sample in a moving average
-	slowRate  = 0.02 // the same, of how slow a server is: some seconds of one relay's samples
-	slowLeast = 0.5  // bounds of how much slower than expected a server may be taken for
-	slowMost  = 20.0
+	learnRate = 0.2 // weight of a new sample in a moving average
 )
 
 type (
@@ -42,7 +39,6 @@
 		pending time.Duration // of reading prompts that were given and haven't begun to be answered
 		wait    time.Duration // of requests in its queue, when last learnt
 		waitAt  time.Time
-		slow    float64       // how much longer than expected it takes
 		latency time.Duration // of requests without prompts, moving average
 		errors  float64       // moving average of failures, as of errorAt
 		errorAt time.Time
@@ -78,7 +74,7 @@
 		}
 		known := t.servers[s.ID]
 		if known == nil || known.Born != s.Born || known.Address != s.Address {
-			known = &server{slow: 1, held: map[uint64]time.Time{}}
+			known = &server{held: map[uint64]time.Time{}}
 		}
 		known.Server = s
 		servers[s.ID] = known
@@ -258,14 +254,6 @@
 	}
 }
 
-// learnSlow compares how long the beginning of an answer took with what was
-// expected.
-func (s *server) learnSlow(took, expected time.Duration) {
-	ratio := min(max(float64(took)/float64(expected), slowLeast), slowMost)
-	s.slow += slowRate * (ratio*s.slow - s.slow)
-	s.slow = min(max(s.slow, slowLeast), slowMost)
-}
-
 func (s *server) learnWait(now time.Time, sample time.Duration) {
 	old := s.waitNow(now)
 	s.wait = old + time.Duration(learnRate*float64(sample-old))
