--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,7 +28,6 @@
 		Domain  string          // failure domain of the relay
 		Prompt  []Part          // in order; empty for a request without a prompt
 		Tokens  int             // of the whole prompt
-		Most    int             // tokens to be generated
 		Tried   map[string]bool // servers that are left out, by ID
 		Direct  bool            // the prompt is read where the answer is generated
 	}
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -124,7 +124,7 @@
 	// The caller has a part: only another server's rest makes it whole.
 	for j.mayRepeat(broken) {
 		j.direct = true
-		j.relay.meters.again("resumed")
+		j.noteAgain(broken)
 		next := j.attempt()
 		if next == nil || j.out.broken {
 			return next
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -49,7 +49,6 @@
 		Time   time.Duration // that the caller waits; 0 if it doesn't say
 		Prompt []placement.Part
 		Tokens int    // of the prompt
-		Most   int    // tokens to be generated
 		Last   string // the event after which a stream goes on; empty for its beginning
 		Header http.Header
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"endivedeck.example/fault"
 	"endivedeck.example/placement"
 	"endivedeck.example/routes"
@@ -21,10 +19,10 @@
 	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
 	waitShare  = 0.7                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
 	ownShare   = 0.25                 // of the time for its own prompt that counts as waiting
-	urgent     = 1                    // priorities at an engine; 0 goes first
-	handed     = 3
-	ordinary   = 5
-	silentTime = time.Second // without any answer, after which a server counts as lost
+	urgent     = 1                    // priorities at an engine, where 0 goes first: of chats,
+	handed     = 3                    // of prompts that were read elsewhere,
+	ordinary   = 5                    // and of the rest, as if nothing were said
+	silentTime = time.Second          // without any answer, after which a server counts as lost
 )
 
 // job is one caller's request.
@@ -76,7 +74,7 @@
 		if err == nil || !j.mayRepeat(err) {
 			return j.final(err)
 		}
-		j.relay.meters.again(string(fault.Of(err)))
+		j.noteAgain(err)
 	}
 }
 
@@ -140,7 +138,6 @@
 		Domain:  j.relay.host.Process.FailureDomain,
 		Prompt:  j.ask.Prompt,
 		Tokens:  j.ask.Tokens,
-		Most:    j.ask.Most,
 		Tried:   j.tried,
 		Direct:  j.direct,
 	})
@@ -295,18 +292,6 @@
 	})
 }
 
-// drop frees a KV cache that nobody will take.
-func (j *job) drop(send Send) {
-	if send.Handle == "" {
-		return
-	}
-	method, path := j.relay.dialect.Drop(send.Handle)
-	task := &dropping{relay: j.relay, address: send.Source, method: method, path: path}
-	if err := j.relay.host.Pool.Submit(task); err != nil {
-		j.relay.log.WithField("request", j.ask.ID).WithField("error", err.Error()).Warn("a KV cache is left to lapse")
-	}
-}
-
 // resultOf tells what a failed send says of its server. One that answers
 // others isn't lost because this request's time was over.
 func (j *job) resultOf(ticket *placement.Ticket, err error) placement.Result {
@@ -318,69 +303,3 @@
 	}
 	return placement.Lost
 }
-
-// note logs the decisions on the request and counts it.
-func (j *job) note(err error) {
-	whole := time.Since(j.start)
-	status := j.out.status
-	if j.out.broken {
-		status = statusBroken
-	}
-	fields := logrus.Fields{"request": j.ask.ID, "version": j.version, "status": status, "whole": whole.Milliseconds()}
-	if j.route == nil {
-		j.relay.log.WithFields(fields).WithField("host", j.request.Host).WithField("path", j.request.URL.Path).Info("no route")
-		return
-	}
-	j.relay.meters.request(j.route.Kind, status, j.first, whole)
-	fields["route"] = j.route.Name
-	fields["service"] = j.service
-	fields["server"] = j.server
-	fields["sends"] = j.sends
-	fields["runs"] = j.runs
-	fields["expect"] = j.expect.Milliseconds()
-	fields["first"] = j.first.Milliseconds()
-	if j.ask.Tokens > 0 {
-		fields["tokens"] = j.ask.Tokens
-	}
-	if j.reader != "" {
-		fields["reader"] = j.reader
-		fields["read"] = j.read.Milliseconds()
-	}
-	if err != nil {
-		e := fault.From(err)
-		fields["kind"] = e.Kind
-		fields["ran"] = e.Ran
-		fields["error"] = e.Text
-	}
-	j.relay.log.WithFields(fields).Info("request")
-}
-
-// dropping frees a KV cache.
-type dropping struct {
-	relay   *Relay
-	address string
-	method  string
-	path    string
-}
-
-const dropTime = 500 * time.Millisecond // after which the cache lapses by itself soon
-
-// Do implements pool.Task.
-func (d *dropping) Do() {
-	ctx, cancel := context.WithTimeout(d.relay.ctx, dropTime)
-	defer cancel()
-	answer, err := d.relay.upstream.Send(ctx, d.address, upstream.Request{
-		Method: d.method,
-		Host:   d.address,
-		Path:   d.path,
-		Header: http.Header{},
-	})
-	if err != nil {
-		d.relay.log.WithField("server", d.address).WithField("error", err.Error()).Info("a KV cache is left to lapse")
-		return
-	}
-	defer answer.Close()
-	if _, err := readAll(answer, handleMost); err != nil {
-		d.relay.log.WithField("server", d.address).WithField("error", err.Error()).Info("freeing a KV cache")
-	}
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,17 +25,16 @@
 
 	// Server is a backend server as it announced itself.
 	Server struct {
-		ID      string        `cbor:"1,keyasint"` // of one incarnation, mostly
-		Service string        `cbor:"2,keyasint"`
-		Address string        `cbor:"3,keyasint"`
-		Domain  string        `cbor:"4,keyasint"` // failure domain
-		Born    int64         `cbor:"5,keyasint"` // its start, in Unix milliseconds of its own clock
-		Seq     uint64        `cbor:"6,keyasint"` // counts its announcements since Born
-		Slots   int           `cbor:"7,keyasint"`
-		Stage   Stage         `cbor:"8,keyasint"`
-		Leaving bool          `cbor:"9,keyasint"` // it takes no new work
-		Gone    bool          `cbor:"10,keyasint"`
-		Cold    time.Duration `cbor:"11,keyasint"` // for which it is still slow
+		ID      string `cbor:"1,keyasint"` // of one incarnation, mostly
+		Service string `cbor:"2,keyasint"`
+		Address string `cbor:"3,keyasint"`
+		Domain  string `cbor:"4,keyasint"` // failure domain
+		Born    int64  `cbor:"5,keyasint"` // its start, in Unix milliseconds of its own clock
+		Seq     uint64 `cbor:"6,keyasint"` // counts its announcements since Born
+		Slots   int    `cbor:"7,keyasint"`
+		Stage   Stage  `cbor:"8,keyasint"`
+		Leaving bool   `cbor:"9,keyasint"` // it takes no new work
+		Gone    bool   `cbor:"10,keyasint"`
 	}
 
 	// Heard is a server with the time since its last announcement.
@@ -64,6 +63,5 @@
 // same reports whether two announcements differ in nothing that relays act on.
 func same(a, b Server) bool {
 	a.Seq = b.Seq
-	a.Cold = b.Cold
 	return a == b
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -37,13 +37,10 @@
 		Prefix    string        `cbor:"3,keyasint"` // begins and ends with a slash
 		Kind      Kind          `cbor:"4,keyasint"`
 		Resumable bool          `cbor:"5,keyasint"` // a stream may go on at another backend server
-		Prompts   bool          `cbor:"6,keyasint"` // requests say what their prompts are made of
-		Timeout   time.Duration `cbor:"7,keyasint"` // the longest that a caller waits for the whole answer
-		Target    time.Duration `cbor:"8,keyasint"` // latency objective; of a stream, to its first event
-		Pause     time.Duration `cbor:"9,keyasint"` // the longest between two events; 0 for none
-		Priority  int           `cbor:"10,keyasint"`
-		Attempts  int           `cbor:"11,keyasint"` // backend servers that may run one request
-		Targets   []Target      `cbor:"12,keyasint"`
+		Timeout   time.Duration `cbor:"6,keyasint"` // the longest that a caller waits for the whole answer
+		Target    time.Duration `cbor:"7,keyasint"` // latency objective; of a stream, to its first event
+		Attempts  int           `cbor:"8,keyasint"` // backend servers that may run one request
+		Targets   []Target      `cbor:"9,keyasint"`
 	}
 
 	// Target is a service that takes a part of a route's requests.
@@ -54,28 +51,13 @@
 
 	// Service is a group of backend servers that can stand in for each other.
 	Service struct {
-		Name        string  `cbor:"1,keyasint"`
-		Health      string  `cbor:"2,keyasint"` // path of the health check
-		Connections int     `cbor:"3,keyasint"` // that one backend server accepts from all callers together
-		Engine      *Engine `cbor:"4,keyasint,omitempty"`
-	}
-
-	// Engine describes the model engines of a service.
-	Engine struct {
-		Slots      int           `cbor:"1,keyasint"` // requests in one batch
-		Capacity   int           `cbor:"2,keyasint"` // tokens of KV cache
-		TokenBytes int           `cbor:"3,keyasint"` // of KV cache
-		LinkMbps   float64       `cbor:"4,keyasint"`
-		Readers    int           `cbor:"5,keyasint"` // waiting calls for cache events
-		HandleTime time.Duration `cbor:"6,keyasint"` // for which a prefilled prompt is kept
+		Name        string `cbor:"1,keyasint"`
+		Connections int    `cbor:"2,keyasint"` // that one backend server accepts from all callers together; 0 for no bound
 	}
 
 	// Limits bounds what a caller may send. 0 stands for no bound.
 	Limits struct {
-		HeaderBytes int           `cbor:"1,keyasint"`
-		BodyBytes   int64         `cbor:"2,keyasint"`
-		HeaderTime  time.Duration `cbor:"3,keyasint"`
-		IdleTime    time.Duration `cbor:"4,keyasint"`
+		BodyBytes int64 `cbor:"1,keyasint"`
 	}
 )
 
