Let a request wait for half of its objective

Cause: at saturation a prompt waits about 1.3 times as long as its engine's known work, so that many of those that were taken came late. Change: the share of the objective that a request may wait, 0.7 to 0.5.

--- a/relay/job.go
+++ b/relay/job.go
@@ -17,7 +17,7 @@
 	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
 	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
 	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
-	waitShare  = 0.7                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
+	waitShare  = 0.5                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
 	ownShare   = 0.25                 // of the time for its own prompt that counts as waiting
 	urgent     = 1                    // priorities at an engine, where 0 goes first: of chats,
 	handed     = 3                    // of prompts that were read elsewhere,
