--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// TestCallerLeaves has a caller leave while a backend server is at work: it
-// learns of it within half a second.
+// TestCallerLeaves has a caller leave while a backend server is at work: the
+// server learns of it.
 func TestCallerLeaves(t *testing.T) {
 	server := &backend{name: "a", script: []string{"hang"}}
 	b := newBed(t, route(routes.Once, 1, false), server)
