Reckon what every engine's memory holds, and move shared parts of prompts

Ruled out: too little memory for it (half of what is held stands twice). Change: relays tell each other which prefixes they have had read and how many tokens came in by it; a prefix counts as held until as many tokens have come in since as the engine's memory takes (the routes tell its size). What another engine holds is moved (Kv-Fetch) where that is cheaper than reading it.

--- a/message/message.go
+++ b/message/message.go
@@ -161,6 +161,8 @@
 	Loads struct {
 		Relay string           `cbor:"1,keyasint"` // its address
 		List  []placement.Load `cbor:"2,keyasint"` // those without work are left out
+
+		Readings []placement.Reading `cbor:"3,keyasint,omitempty"` // since the message before
 	}
 
 	// News tells a relay what a control instance knows. Servers is always whole.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,8 +3,9 @@
 // It knows the servers of the roster, what this relay has given to each, and
 // what came of it. A request goes where its answer is expected to begin first:
 // behind the work that is known to be there, with the prompt's parts that are
-// likely to be held in the server's memory already. Each prompt's shared parts
-// have a home, the same for all relays, so that they are held in one place.
+// likely to be held in the server's memory already, or in that of a server from
+// which they can be moved. What each server holds is reckoned from the prompts
+// that all relays gave to it.
 //
 // The package does no input or output, and is told the time.
 package placement
@@ -37,6 +38,7 @@
 	Choice struct {
 		Reader *Ticket
 		Runner *Ticket
+		Source string        // address of a server whose memory has shared parts of the prompt; empty for none
 		Queue  time.Duration // before the request is begun
 		Expect time.Duration // to the first byte of the answer
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -94,7 +94,7 @@
 	}
 	busy := name(first.Reader)
 	first.Withdraw(start)
-	table.Hear(start, "relay-2", []Load{{Server: busy, Pending: 200 * time.Millisecond, Active: 8}})
+	table.Hear(start, "relay-2", []Load{{Server: busy, Pending: 200 * time.Millisecond, Active: 8}}, nil)
 	second, err := table.Choose(start, prompt(5))
 	if err != nil {
 		t.Fatal(err)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -33,13 +33,27 @@
 	// this size is read in one piece between two steps.
 	ChatTokens = 1024
 
-	// Chances that a shared part has to be read again.
-	missFirst = 0.05 // the first part, which few prompts differ in
-	missHeld  = 0.15 // at a server that this relay gave the same part lately
-	missHome  = 0.5  // at the home of the part
-	missElse  = 0.95
+	moveStart = 500 * time.Microsecond // before KV cache begins to move
+
+	// Chances that what is expected in memory isn't there.
+	missHeld  = 0.05 // in the server's own
+	missMoved = 0.15 // in that of another one, by the time that it is asked
+
+	// keepShare is what a token that is put into memory costs, against reading
+	// one: something else yields, about half of which is asked for again.
+	keepShare = 0.2
 )
 
+// plan is how a server would read a prompt.
+type plan struct {
+	server *server
+	source *server       // whose memory has more of the prompt; nil for none
+	work   time.Duration // to read what has to be read
+	move   time.Duration // to bring what source has
+	taken  int           // tokens that the server's memory takes in
+	cost   time.Duration // until it is read, and what that costs others
+}
+
 // isChat reports whether what counts is how evenly the answer comes.
 func (a *Ask) isChat() bool { return a.Tokens <= ChatTokens }
 
@@ -48,40 +62,109 @@
 	if ask.isChat() {
 		return t.chooseChat(now, ask, able)
 	}
-	var reader, runner, whole *server
-	var readerCost, runnerCost, wholeCost time.Duration
 	chain := ask.chain()
+	source := t.source(ask, chain)
+	var reader, whole plan
+	var runner *server
+	var runnerCost time.Duration
 	for _, s := range able {
+		p := t.plan(now, s, ask, chain, source)
 		if s.Stage == roster.Prefill {
-			if cost := t.readCost(now, s, ask, chain, able); !ask.Direct && (reader == nil || cost < readerCost) {
-				reader, readerCost = s, cost
+			if !ask.Direct && (reader.server == nil || p.cost < reader.cost) {
+				reader = p
 			}
 			continue
 		}
-		if cost := t.readCost(now, s, ask, chain, able) + t.disturbance(now, s); whole == nil || cost < wholeCost {
-			whole, wholeCost = s, cost
+		p.cost += t.disturbance(now, s)
+		if whole.server == nil || p.cost < whole.cost {
+			whole = p
 		}
-		if cost := t.runCost(now, s, ask); runner == nil || cost < runnerCost {
+		if cost := t.runCost(now, s, ask, chain); runner == nil || cost < runnerCost {
 			runner, runnerCost = s, cost
 		}
 	}
 	switch {
-	case whole == nil:
+	case whole.server == nil:
 		return Choice{}, errNoRunner(ask)
-	case reader != nil && readerCost+moveTime+runnerCost < wholeCost:
-		reader.hold(now, chain)
-		queue := t.queue(now, reader) + min(t.queue(now, runner), beingRead)
-		return Choice{
-			Reader: t.ticket(now, reader, ask, reader.work(now, ask, chain, able)),
-			Runner: t.ticket(now, runner, ask, stepTime),
-			Queue:  queue,
-			Expect: readerCost + moveTime + runnerCost,
-		}, nil
+	case reader.server != nil && reader.cost+moveTime+runnerCost < whole.cost:
+		return t.apart(now, ask, chain, reader, runner), nil
+	}
+	queue := t.queue(now, whole.server) + t.disturbance(now, whole.server)
+	t.read(whole.server, chain, whole.taken)
+	return Choice{
+		Runner: t.ticket(now, whole.server, ask, whole.work),
+		Source: whole.address(),
+		Queue:  queue,
+		Expect: queue + whole.move + whole.work,
+	}, nil
+}
+
+// apart has one engine read the prompt and another one generate.
+func (t *Table) apart(now time.Time, ask Ask, chain []uint64, p plan, runner *server) Choice {
+	reader := p.server
+	queue := t.queue(now, reader) + min(t.queue(now, runner), beingRead)
+	own := ask.Tokens - ask.shared(t.depth(runner, chain))
+	t.read(reader, chain, p.taken)
+	t.read(runner, chain, own)
+	return Choice{
+		Reader: t.ticket(now, reader, ask, p.work),
+		Runner: t.ticket(now, runner, ask, stepTime),
+		Source: p.address(),
+		Queue:  queue,
+		Expect: queue + p.move + p.work + moveTime,
 	}
-	queue := t.queue(now, whole) + t.disturbance(now, whole)
-	work := whole.work(now, ask, chain, able)
-	whole.hold(now, chain)
-	return Choice{Runner: t.ticket(now, whole, ask, work), Queue: queue, Expect: wholeCost}, nil
+}
+
+// source returns the server that holds most of the prompt's shared parts.
+func (t *Table) source(ask Ask, chain []uint64) *server {
+	var best *server
+	var most int
+	for _, s := range t.byName[ask.Service] {
+		depth := t.depth(s, chain)
+		if depth > most || depth == most && depth > 0 && s.Domain == ask.Domain && best.Domain != ask.Domain {
+			best, most = s, depth
+		}
+	}
+	return best
+}
+
+// depth returns how many of a prompt's prefixes a server is expected to hold.
+func (t *Table) depth(s *server, chain []uint64) int {
+	for i, prefix := range chain {
+		if !s.memory.holds(prefix) {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// plan reckons how a server would read the prompt, with what source holds.
+func (t *Table) plan(now time.Time, s *server, ask Ask, chain []uint64, source *server) plan {
+	p := plan{server: s}
+	depth := t.depth(s, chain)
+	held := ask.shared(depth)
+	moved := 0
+	if source != nil && source != s {
+		if more := t.depth(source, chain); more > depth {
+			p.source = source
+			moved = ask.shared(more) - held
+			p.move = moveStart + moveTokens(t.engines[s.Service], moved, source.Domain != s.Domain)
+		}
+	}
+	read := float64(ask.Tokens-held-moved) + missHeld*float64(held) + missMoved*float64(moved)
+	p.work = s.readTime(read, ask.Tokens)
+	p.taken = ask.Tokens - held
+	kept := time.Duration(keepShare * float64(p.taken) / readRate * float64(time.Millisecond))
+	p.cost = t.queue(now, s) + p.work + p.move + kept + s.far(ask)
+	return p
+}
+
+// address returns the address of the plan's source, if it has one.
+func (p plan) address() string {
+	if p.source == nil {
+		return ""
+	}
+	return p.source.Address
 }
 
 // disturbance is what reading a long prompt at an engine costs the answers
@@ -112,8 +195,7 @@
 	if best == nil {
 		return Choice{}, errNoRunner(ask)
 	}
-	chain := ask.chain()
-	work := best.work(now, ask, chain, able)
+	work := best.readTime(float64(ask.Tokens), ask.Tokens)
 	queue := t.queue(now, best)
 	return Choice{Runner: t.ticket(now, best, ask, work), Queue: queue, Expect: queue + work}, nil
 }
@@ -142,15 +224,21 @@
 	return names
 }
 
-// readCost is the time until the prompt is read at the server.
-func (t *Table) readCost(now time.Time, s *server, ask Ask, chain []uint64, all []*server) time.Duration {
-	return t.queue(now, s) + s.work(now, ask, chain, all) + s.far(ask)
+// shared returns the tokens of the prompt's first parts.
+func (a *Ask) shared(parts int) int {
+	tokens := 0
+	for _, p := range a.Prompt[:parts] {
+		tokens += p.Tokens
+	}
+	return tokens
 }
 
 // runCost is the time until an engine that gets the KV cache generates. The
 // request goes before prompts that wait there, but for one that is being read.
-func (t *Table) runCost(now time.Time, s *server, ask Ask) time.Duration {
-	return min(t.queue(now, s), beingRead) + stepTime*time.Duration(1+s.active/4) + s.far(ask)
+func (t *Table) runCost(now time.Time, s *server, ask Ask, chain []uint64) time.Duration {
+	taken := ask.Tokens - ask.shared(t.depth(s, chain))
+	kept := time.Duration(keepShare * float64(taken) / readRate * float64(time.Millisecond))
+	return min(t.queue(now, s), beingRead) + stepTime*time.Duration(1+s.active/4) + kept + s.far(ask)
 }
 
 // queue is the time that a request waits at a server.
@@ -171,46 +259,16 @@
 	return farTime
 }
 
-// work is the time to read what of the prompt isn't expected in memory.
-func (s *server) work(now time.Time, ask Ask, chain []uint64, all []*server) time.Duration {
-	tokens := float64(ask.Tokens)
-	for i, name := range chain {
-		hit := 1 - s.miss(now, i, name, all)
-		tokens -= hit * float64(ask.Prompt[i].Tokens)
-	}
+// readTime is the time to read so many tokens of a prompt of the given size.
+func (s *server) readTime(tokens float64, whole int) time.Duration {
 	rate := readRate
 	if s.Stage == roster.Decode {
 		rate *= decodeShare
 	}
-	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(ask.Tokens)/1000*float64(pairTime)
+	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(whole)/1000*float64(pairTime)
 	return time.Duration(took)
 }
 
-func (s *server) miss(now time.Time, place int, name uint64, all []*server) float64 {
-	if place == 0 {
-		return missFirst
-	}
-	if at, held := s.held[name]; held && now.Sub(at) < heldTime {
-		return missHeld
-	}
-	if home(name, all) == s {
-		return missHome
-	}
-	return missElse
-}
-
-// home returns the server at which all relays expect a shared part.
-func home(name uint64, all []*server) *server {
-	var best *server
-	var most uint64
-	for _, s := range all {
-		if weight := s.weigh(name); best == nil || weight > most {
-			best, most = s, weight
-		}
-	}
-	return best
-}
-
 // weigh ranks the server for a name, by rendezvous.
 func (s *server) weigh(name uint64) uint64 {
 	var text [8]byte
@@ -220,18 +278,3 @@
 	_, _ = d.WriteString(s.ID)
 	return d.Sum64()
 }
-
-// hold notes that the server will have read the parts.
-func (s *server) hold(now time.Time, chain []uint64) {
-	const most = 4096 // names, about what an engine's memory holds
-	if len(s.held) > most {
-		for name, at := range s.held {
-			if now.Sub(at) > heldTime {
-				delete(s.held, name)
-			}
-		}
-	}
-	for _, name := range chain {
-		s.held[name] = now
-	}
-}
--- a/placement/table.go
+++ b/placement/table.go
@@ -8,6 +8,7 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
+	"endivedeck.example/routes"
 )
 
 const (
@@ -17,7 +18,6 @@
 	waitHalf    = 150 * time.Millisecond // in which what was learnt of a queue loses half of its weight
 	errorHalf   = 2 * time.Second        // the same, of failures
 	toldTime    = 300 * time.Millisecond // for which the word of another relay counts
-	heldTime    = 6 * time.Second        // for which a shared part is expected to stay in memory
 
 	learnRate = 0.2 // weight of a new sample in a moving average
 )
@@ -30,6 +30,10 @@
 		servers map[string]*server
 		byName  map[string][]*server       // by service, in the order of their IDs
 		others  map[string]map[string]told // of servers, by relay
+		engines map[string]routes.Engine   // by service
+
+		readings []Reading // that this relay caused, the newest last
+		told     uint64    // readings that were dropped from the front
 	}
 
 	server struct {
@@ -45,7 +49,7 @@
 		fails   int       // in a row
 		rest    time.Time // it gets no work before
 		heard   time.Time // last sign of life
-		held    map[uint64]time.Time
+		memory  *memory
 	}
 
 	// told is what another relay told of one server.
@@ -58,7 +62,23 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{mu: rank.New(rank.Fleet), servers: map[string]*server{}, byName: map[string][]*server{}, others: map[string]map[string]told{}}
+	return &Table{
+		mu:      rank.New(rank.Fleet),
+		servers: map[string]*server{},
+		byName:  map[string][]*server{},
+		others:  map[string]map[string]told{},
+		engines: map[string]routes.Engine{},
+	}
+}
+
+// Describe takes in what is known of the engines of each service.
+func (t *Table) Describe(engines map[string]routes.Engine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.engines = engines
+	for _, s := range t.servers {
+		s.memory.resize(engines[s.Service])
+	}
 }
 
 // Update replaces the servers that may get work. What is known of those that
@@ -74,7 +94,7 @@
 		}
 		known := t.servers[s.ID]
 		if known == nil || known.Born != s.Born || known.Address != s.Address {
-			known = &server{held: map[uint64]time.Time{}}
+			known = &server{memory: newMemory(t.engines[s.Service])}
 		}
 		known.Server = s
 		servers[s.ID] = known
@@ -97,8 +117,19 @@
 	return list
 }
 
-// Hear takes in what another relay has given to each server.
-func (t *Table) Hear(now time.Time, relay string, list []Load) {
+// Readings returns what this relay has had read since a place in the order of
+// its readings, and the place after them.
+func (t *Table) Readings(since uint64) ([]Reading, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.told + uint64(len(t.readings))
+	since = min(max(since, t.told), next)
+	return slices.Clone(t.readings[since-t.told:]), next
+}
+
+// Hear takes in what another relay has given to each server, and what it has
+// had read since it last told.
+func (t *Table) Hear(now time.Time, relay string, list []Load, readings []Reading) {
 	loads := make(map[string]told, len(list))
 	for _, l := range list {
 		loads[l.Server] = told{pending: l.Pending, chats: l.Chats, at: now}
@@ -106,6 +137,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.others[relay] = loads
+	for _, r := range readings {
+		if s := t.servers[r.Server]; s != nil {
+			s.memory.take(r.Prefixes, r.Tokens)
+		}
+	}
+}
+
+// read notes that a server is given a prompt.
+func (t *Table) read(s *server, prefixes []uint64, tokens int) {
+	const most = 256 // readings that are kept for relays that are told late
+	s.memory.take(prefixes, tokens)
+	t.readings = append(t.readings, Reading{Server: s.ID, Prefixes: prefixes, Tokens: tokens})
+	if over := len(t.readings) - most; over >= most {
+		t.readings = slices.Clone(t.readings[over:])
+		t.told += uint64(over)
+	}
 }
 
 // elsewhere sums up what other relays have lately given to a server.
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -58,6 +58,7 @@
 		Server   roster.Server
 		Left     time.Duration // for the answer
 		Read     bool          // only the prompt is read
+		Fetch    string        // address of a server that holds shared parts of the prompt
 		Source   string        // address of the server that has read the prompt
 		Handle   string        // name of the KV cache there
 		Last     string        // the event after which the stream goes on
--- a/relay/job.go
+++ b/relay/job.go
@@ -153,7 +153,7 @@
 		j.relay.budget.First(now, j.service)
 	}
 	j.sends++
-	send := Send{Left: time.Until(j.until), Last: j.last}
+	send := Send{Left: time.Until(j.until), Last: j.last, Fetch: choice.Source}
 	if choice.Reader != nil {
 		err := j.readFirst(choice, &send)
 		if err != nil {
@@ -215,6 +215,7 @@
 		j.direct = true
 		return err
 	}
+	send.Fetch = ""
 	send.Source = ticket.Server.Address
 	send.Handle = handle
 	return nil
--- a/relay/mates.go
+++ b/relay/mates.go
@@ -75,9 +75,11 @@
 	stop := context.AfterFunc(ctx, call.Cancel)
 	defer stop()
 	empty := true
+	var next uint64 // place in the order of readings
 	for {
 		loads := message.Loads{Relay: m.relay.settings.Inner, List: m.relay.places.Loads()}
-		if len(loads.List) > 0 || !empty {
+		loads.Readings, next = m.relay.places.Readings(next)
+		if len(loads.List)+len(loads.Readings) > 0 || !empty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -102,6 +104,6 @@
 		if err := x.Receive(&loads); err != nil {
 			return
 		}
-		r.places.Hear(time.Now(), loads.Relay, loads.List)
+		r.places.Hear(time.Now(), loads.Relay, loads.List, loads.Readings)
 	}
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -53,6 +53,15 @@
 	Service struct {
 		Name        string `cbor:"1,keyasint"`
 		Connections int    `cbor:"2,keyasint"` // that one backend server accepts from all callers together; 0 for no bound
+		Engine      Engine `cbor:"3,keyasint"` // of a service that generates
+	}
+
+	// Engine describes the memory of a service's model engines. 0 stands for
+	// what isn't known.
+	Engine struct {
+		Memory     int64   `cbor:"1,keyasint"` // tokens whose KV cache one engine holds
+		TokenBytes float64 `cbor:"2,keyasint"` // bytes of KV cache for one token
+		Link       float64 `cbor:"3,keyasint"` // bytes of KV cache that an engine moves in a second
 	}
 
 	// Limits bounds what a caller may send. 0 stands for no bound.
--- a/routes/view.go
+++ b/routes/view.go
@@ -64,6 +64,17 @@
 	return v.services[name]
 }
 
+// Engines returns what is known of the engines of each service.
+func (v *View) Engines() map[string]Engine {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	engines := make(map[string]Engine, len(v.services))
+	for name, s := range v.services {
+		engines[name] = s.Engine
+	}
+	return engines
+}
+
 // Match returns the route with the longest prefix of path on a host, which may
 // have a port, or nil, and the version that it is from. What it returns is
 // shared and must not be changed.
