Put prompts that can't be in time behind those that can, in place of refusing them

Change: such a prompt is sent to an engine behind all others as long as that takes less than 0.4 of its caller's time. A caller that comes back with less time than others is late from the start.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,10 @@
 		Tokens  int             // of the whole prompt
 		Tried   map[string]bool // servers that are left out, by ID
 		Direct  bool            // the prompt is read where the answer is generated
+
+		Target time.Duration // left of the latency objective; 0 or less if it's missed already
+		Left   time.Duration // until the caller needs the whole answer
+		Firm   bool          // it is placed however long it would wait
 	}
 
 	// Choice is where a request goes. Reader is the server that reads the
@@ -39,6 +43,7 @@
 		Reader *Ticket
 		Runner *Ticket
 		Source string        // address of a server whose memory has shared parts of the prompt; empty for none
+		Late   bool          // it goes behind requests whose answers can still be in time
 		Queue  time.Duration // before the request is begun
 		Expect time.Duration // to the first byte of the answer
 	}
@@ -58,6 +63,7 @@
 		Pending time.Duration `cbor:"2,keyasint"` // of reading prompts, as expected
 		Active  int           `cbor:"3,keyasint"`
 		Chats   int           `cbor:"4,keyasint"` // of these, with short prompts and long answers
+		Late    time.Duration `cbor:"5,keyasint"` // of reading prompts that go behind the others
 	}
 
 	// Ticket is a request's place at one server. End must be called once.
@@ -65,11 +71,17 @@
 		Server roster.Server
 
 		table *Table
-		work  time.Duration // of reading the prompt, as expected
-		queue time.Duration // before it, as expected
+		reading
 		chat  bool
 		ended bool
 	}
+
+	// reading is a prompt's place among those that wait at a server.
+	reading struct {
+		work  time.Duration // as expected
+		queue time.Duration // before it, as expected
+		late  bool          // it goes behind what can still be in time
+	}
 )
 
 // Results.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -28,11 +28,11 @@
 }
 
 func prompt(thing uint64) Ask {
-	return Ask{Service: "assist", Tokens: 9200, Prompt: []Part{{ID: 1, Tokens: 2520}, {ID: thing, Tokens: 3780}, {ID: 1000 + thing, Tokens: 2900}}}
+	return Ask{Service: "assist", Target: 150 * time.Millisecond, Left: 2 * time.Second, Tokens: 9200, Prompt: []Part{{ID: 1, Tokens: 2520}, {ID: thing, Tokens: 3780}, {ID: 1000 + thing, Tokens: 2900}}}
 }
 
 func chat() Ask {
-	return Ask{Service: "assist", Tokens: 220, Prompt: []Part{{ID: 5, Tokens: 79}, {ID: 6, Tokens: 141}}}
+	return Ask{Service: "assist", Target: 150 * time.Millisecond, Left: 15 * time.Second, Tokens: 220, Prompt: []Part{{ID: 5, Tokens: 79}, {ID: 6, Tokens: 141}}}
 }
 
 func name(k *Ticket) string {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -19,21 +19,15 @@
 	firstTime   = 3 * time.Millisecond   // besides, for each prompt
 	stepTime    = 700 * time.Microsecond // of generating one token
 
-	moveTime = 3 * time.Millisecond // to hand a prompt's KV cache to another engine, with the second call
-	farTime  = time.Millisecond     // more, between failure domains
+	handTime  = 3 * time.Millisecond   // to hand a prompt's KV cache to another engine, with the second call
+	moveStart = 500 * time.Microsecond // before KV cache begins to move
+	farTime   = time.Millisecond       // more, between failure domains
 
 	beingRead = 5 * time.Millisecond // of a prompt's reading, before which a more urgent request goes
 
-	chatFill  = 0.6                   // of an engine's slots that chats take before the next engine gets some
-	chatDelay = 3 * time.Millisecond  // by which a long prompt's reading delays each chat beside it, weighed against the prompt's own time
-	queueChat = 60 * time.Millisecond // an engine with more work waiting gets chats last
-	chatOrder = 0                     // the name by which engines are ordered for chats
-
-	// ChatTokens is the size of the longest prompt of a chat. A prompt up to
-	// this size is read in one piece between two steps.
-	ChatTokens = 1024
-
-	moveStart = 500 * time.Microsecond // before KV cache begins to move
+	waitShare = 0.5  // of a latency objective that a request may wait; the rest is for its prompt and the ways
+	ownShare  = 0.25 // of the time for its own prompt that counts as waiting
+	lateShare = 0.4  // of a caller's time that the prompt of a late answer may take; the rest is for others that come, and for generating
 
 	// Chances that what is expected in memory isn't there.
 	missHeld  = 0.05 // in the server's own
@@ -44,169 +38,174 @@
 	keepShare = 0.2
 )
 
-// plan is how a server would read a prompt.
-type plan struct {
-	server *server
-	source *server       // whose memory has more of the prompt; nil for none
-	work   time.Duration // to read what has to be read
-	move   time.Duration // to bring what source has
-	taken  int           // tokens that the server's memory takes in
-	cost   time.Duration // until it is read, and what that costs others
-}
+type (
+	// round is the placing of one long prompt.
+	round struct {
+		table  *Table
+		now    time.Time
+		ask    Ask
+		chain  []uint64
+		able   []*server
+		source *server // that holds most of its shared parts; nil for none
+	}
 
-// isChat reports whether what counts is how evenly the answer comes.
-func (a *Ask) isChat() bool { return a.Tokens <= ChatTokens }
+	// plan is how a server would read the prompt.
+	plan struct {
+		server *server
+		runner *server       // that generates, where that is another one
+		source *server       // whose memory has more of the prompt; nil for none
+		late   bool          // behind what can still be in time
+		queue  time.Duration // before it is read
+		work   time.Duration // to read what has to be read
+		taken  int           // tokens that the server's memory takes in
+		expect time.Duration // until the answer begins
+		cost   time.Duration // the same, and what it costs others
+	}
+)
 
 // choosePrompt takes the engine, or the two, by which the answer begins first.
+// A prompt whose answer can't be in time any more goes behind those that can
+// where it is still served soon enough, and is refused elsewhere.
 func (t *Table) choosePrompt(now time.Time, ask Ask, able []*server) (Choice, error) {
-	if ask.isChat() {
-		return t.chooseChat(now, ask, able)
-	}
-	chain := ask.chain()
-	source := t.source(ask, chain)
-	var reader, whole plan
-	var runner *server
-	var runnerCost time.Duration
-	for _, s := range able {
-		p := t.plan(now, s, ask, chain, source)
-		if s.Stage == roster.Prefill {
-			if !ask.Direct && (reader.server == nil || p.cost < reader.cost) {
-				reader = p
-			}
-			continue
+	r := &round{table: t, now: now, ask: ask, chain: ask.chain(), able: able}
+	r.source = r.holder()
+	if ask.Target > 0 || ask.Firm {
+		p, err := r.best(false)
+		if err != nil {
+			return Choice{}, err
 		}
-		p.cost += t.disturbance(now, s)
-		if whole.server == nil || p.cost < whole.cost {
-			whole = p
-		}
-		if cost := t.runCost(now, s, ask, chain); runner == nil || cost < runnerCost {
-			runner, runnerCost = s, cost
+		if ask.Firm || ask.inTime(p.queue, p.expect) {
+			return r.take(p), nil
 		}
 	}
-	switch {
-	case whole.server == nil:
-		return Choice{}, errNoRunner(ask)
-	case reader.server != nil && reader.cost+moveTime+runnerCost < whole.cost:
-		return t.apart(now, ask, chain, reader, runner), nil
+	p, err := r.best(true)
+	if err != nil {
+		return Choice{}, err
 	}
-	queue := t.queue(now, whole.server) + t.disturbance(now, whole.server)
-	t.read(whole.server, chain, whole.taken)
-	return Choice{
-		Runner: t.ticket(now, whole.server, ask, whole.work),
-		Source: whole.address(),
-		Queue:  queue,
-		Expect: queue + whole.move + whole.work,
-	}, nil
+	if ask.useful(p.expect) {
+		return r.take(p), nil
+	}
+	return Choice{}, errLate(ask, p.queue)
 }
 
-// apart has one engine read the prompt and another one generate.
-func (t *Table) apart(now time.Time, ask Ask, chain []uint64, p plan, runner *server) Choice {
-	reader := p.server
-	queue := t.queue(now, reader) + min(t.queue(now, runner), beingRead)
-	own := ask.Tokens - ask.shared(t.depth(runner, chain))
-	t.read(reader, chain, p.taken)
-	t.read(runner, chain, own)
-	return Choice{
-		Reader: t.ticket(now, reader, ask, p.work),
-		Runner: t.ticket(now, runner, ask, stepTime),
-		Source: p.address(),
-		Queue:  queue,
-		Expect: queue + p.move + p.work + moveTime,
-	}
+// inTime reports whether an answer is expected to begin within the objective.
+// The time for the request's own prompt counts little, so that no size of
+// requests is refused much more often than others.
+func (a *Ask) inTime(queue, expect time.Duration) bool {
+	wait := queue + time.Duration(ownShare*float64(expect-queue))
+	return wait <= time.Duration(waitShare*float64(a.Target))
 }
 
-// source returns the server that holds most of the prompt's shared parts.
-func (t *Table) source(ask Ask, chain []uint64) *server {
+// useful reports whether a late answer comes while its caller still waits.
+func (a *Ask) useful(expect time.Duration) bool {
+	return expect < time.Duration(lateShare*float64(a.Left))
+}
+
+func errLate(ask Ask, queue time.Duration) error {
+	return fault.New(fault.Overloaded, fault.No, "the request would wait %v; its answer is wanted in %v and of use for %v", queue, ask.Target, ask.Left)
+}
+
+func errNoRunner(ask Ask) error {
+	return fault.New(fault.Unavailable, fault.No, "no engine of %s generates now", ask.Service)
+}
+
+// holder returns the server that holds most of the prompt's shared parts, a
+// near one before others.
+func (r *round) holder() *server {
 	var best *server
-	var most int
-	for _, s := range t.byName[ask.Service] {
-		depth := t.depth(s, chain)
-		if depth > most || depth == most && depth > 0 && s.Domain == ask.Domain && best.Domain != ask.Domain {
+	most := 0
+	for _, s := range r.table.byName[r.ask.Service] {
+		depth := s.depth(r.chain)
+		if depth > most || depth > 0 && depth == most && s.Domain == r.ask.Domain {
 			best, most = s, depth
 		}
 	}
 	return best
 }
 
-// depth returns how many of a prompt's prefixes a server is expected to hold.
-func (t *Table) depth(s *server, chain []uint64) int {
-	for i, prefix := range chain {
-		if !s.memory.holds(prefix) {
-			return i
+// best returns the plan of the least cost.
+func (r *round) best(late bool) (plan, error) {
+	var reader, whole plan
+	var runner *server
+	var runnerQueue, runnerCost time.Duration
+	for _, s := range r.able {
+		p := r.plan(s, late)
+		if s.Stage == roster.Prefill {
+			if !r.ask.Direct && (reader.server == nil || p.cost < reader.cost) {
+				reader = p
+			}
+			continue
+		}
+		if whole.server == nil || p.cost < whole.cost {
+			whole = p
+		}
+		if queue, cost := r.runCost(s); runner == nil || cost < runnerCost {
+			runner, runnerQueue, runnerCost = s, queue, cost
 		}
 	}
-	return len(chain)
+	if whole.server == nil {
+		return plan{}, errNoRunner(r.ask)
+	}
+	if reader.server != nil && reader.cost+handTime+runnerCost < whole.cost {
+		reader.runner = runner
+		reader.queue += runnerQueue
+		reader.expect += runnerQueue + handTime
+		return reader, nil
+	}
+	return whole, nil
 }
 
-// plan reckons how a server would read the prompt, with what source holds.
-func (t *Table) plan(now time.Time, s *server, ask Ask, chain []uint64, source *server) plan {
-	p := plan{server: s}
-	depth := t.depth(s, chain)
-	held := ask.shared(depth)
+// plan reckons how a server would read the prompt, with what another one holds.
+func (r *round) plan(s *server, late bool) plan {
+	given := r.table.given(r.now, s)
+	p := plan{server: s, late: late, queue: s.queue(r.now, given, late)}
+	if s.Stage != roster.Prefill {
+		p.queue += time.Duration(given.chats) * chatDelay
+	}
+	depth := s.depth(r.chain)
+	held := r.ask.shared(depth)
 	moved := 0
-	if source != nil && source != s {
-		if more := t.depth(source, chain); more > depth {
-			p.source = source
-			moved = ask.shared(more) - held
-			p.move = moveStart + moveTokens(t.engines[s.Service], moved, source.Domain != s.Domain)
+	var move time.Duration
+	if r.source != nil && r.source != s {
+		if more := r.source.depth(r.chain); more > depth {
+			p.source = r.source
+			moved = r.ask.shared(more) - held
+			move = moveStart + moveTokens(r.table.engines[s.Service], moved, r.source.Domain != s.Domain)
 		}
 	}
-	read := float64(ask.Tokens-held-moved) + missHeld*float64(held) + missMoved*float64(moved)
-	p.work = s.readTime(read, ask.Tokens)
-	p.taken = ask.Tokens - held
-	kept := time.Duration(keepShare * float64(p.taken) / readRate * float64(time.Millisecond))
-	p.cost = t.queue(now, s) + p.work + p.move + kept + s.far(ask)
+	read := float64(r.ask.Tokens-held-moved) + missHeld*float64(held) + missMoved*float64(moved)
+	p.work = s.readTime(read, r.ask.Tokens)
+	p.taken = r.ask.Tokens - held
+	p.expect = p.queue + move + p.work + s.far(r.ask)
+	p.cost = p.expect + keepCost(p.taken)
 	return p
 }
 
-// address returns the address of the plan's source, if it has one.
-func (p plan) address() string {
-	if p.source == nil {
-		return ""
-	}
-	return p.source.Address
-}
-
-// disturbance is what reading a long prompt at an engine costs the answers
-// that it generates, as time.
-func (t *Table) disturbance(now time.Time, s *server) time.Duration {
-	return time.Duration(t.chats(now, s)) * chatDelay
+// runCost is the time until an engine that gets the KV cache generates. The
+// request goes before prompts that wait there, but for one that is being read.
+func (r *round) runCost(s *server) (queue, cost time.Duration) {
+	taken := r.ask.Tokens - r.ask.shared(s.depth(r.chain))
+	queue = min(s.queue(r.now, r.table.given(r.now, s), false), beingRead)
+	return queue, queue + stepTime*time.Duration(1+s.active/4) + keepCost(taken) + s.far(r.ask)
 }
 
-// chooseChat fills the generating engines one after another, in an order that
-// all relays share, so that the others are left to long prompts.
-func (t *Table) chooseChat(now time.Time, ask Ask, able []*server) (Choice, error) {
-	var best *server
-	var least float64
-	var most uint64
-	for _, s := range able {
-		if s.Stage == roster.Prefill {
-			continue
-		}
-		fill := max(float64(t.chats(now, s))/float64(max(s.Slots, 1)), chatFill)
-		if t.queue(now, s) > queueChat {
-			fill++ // only where all engines are so
-		}
-		weight := s.weigh(chatOrder)
-		if best == nil || fill < least || fill == least && weight > most {
-			best, least, most = s, fill, weight
-		}
+// take gives the request to the servers of a plan.
+func (r *round) take(p plan) Choice {
+	t := r.table
+	c := Choice{Late: p.late, Queue: p.queue, Expect: p.expect}
+	if p.source != nil {
+		c.Source = p.source.Address
 	}
-	if best == nil {
-		return Choice{}, errNoRunner(ask)
+	t.read(p.server, r.chain, p.taken)
+	k := t.ticket(r.now, p.server, r.ask, reading{work: p.work, queue: p.queue, late: p.late})
+	if p.runner == nil {
+		c.Runner = k
+		return c
 	}
-	work := best.readTime(float64(ask.Tokens), ask.Tokens)
-	queue := t.queue(now, best)
-	return Choice{Runner: t.ticket(now, best, ask, work), Queue: queue, Expect: queue + work}, nil
-}
-
-func (t *Table) chats(now time.Time, s *server) int {
-	_, elsewhere := t.elsewhere(now, s.ID)
-	return s.chats + elsewhere
-}
-
-func errNoRunner(ask Ask) error {
-	return fault.New(fault.Unavailable, fault.No, "no engine of %s generates now", ask.Service)
+	c.Reader = k
+	t.read(p.runner, r.chain, r.ask.Tokens-r.ask.shared(p.runner.depth(r.chain)))
+	c.Runner = t.ticket(r.now, p.runner, r.ask, reading{work: stepTime})
+	return c
 }
 
 // chain returns a name for each prefix of whole parts but the last, which is
@@ -233,23 +232,24 @@
 	return tokens
 }
 
-// runCost is the time until an engine that gets the KV cache generates. The
-// request goes before prompts that wait there, but for one that is being read.
-func (t *Table) runCost(now time.Time, s *server, ask Ask, chain []uint64) time.Duration {
-	taken := ask.Tokens - ask.shared(t.depth(s, chain))
-	kept := time.Duration(keepShare * float64(taken) / readRate * float64(time.Millisecond))
-	return min(t.queue(now, s), beingRead) + stepTime*time.Duration(1+s.active/4) + kept + s.far(ask)
-}
-
-// queue is the time that a request waits at a server.
-func (t *Table) queue(now time.Time, s *server) time.Duration {
-	return t.pending(now, s) + s.waitNow(now)
+// depth returns how many of a prompt's prefixes the server is expected to hold.
+func (s *server) depth(chain []uint64) int {
+	for i, prefix := range chain {
+		if !s.memory.holds(prefix) {
+			return i
+		}
+	}
+	return len(chain)
 }
 
-// pending is the work that all relays have given to a server.
-func (t *Table) pending(now time.Time, s *server) time.Duration {
-	elsewhere, _ := t.elsewhere(now, s.ID)
-	return s.pending + elsewhere
+// queue is the time that a request waits at the server. What can still be in
+// time goes before what can't, but for a prompt that is being read.
+func (s *server) queue(now time.Time, given share, late bool) time.Duration {
+	wait := given.pending + s.waitNow(now)
+	if late {
+		return wait + given.late
+	}
+	return wait + min(given.late, beingRead)
 }
 
 func (s *server) far(ask Ask) time.Duration {
@@ -259,6 +259,11 @@
 	return farTime
 }
 
+// keepCost is what tokens that are put into an engine's memory cost.
+func keepCost(tokens int) time.Duration {
+	return time.Duration(keepShare * float64(tokens) / readRate * float64(time.Millisecond))
+}
+
 // readTime is the time to read so many tokens of a prompt of the given size.
 func (s *server) readTime(tokens float64, whole int) time.Duration {
 	rate := readRate
@@ -268,13 +273,3 @@
 	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(whole)/1000*float64(pairTime)
 	return time.Duration(took)
 }
-
-// weigh ranks the server for a name, by rendezvous.
-func (s *server) weigh(name uint64) uint64 {
-	var text [8]byte
-	binary.LittleEndian.PutUint64(text[:], name)
-	d := xxhash.New()
-	_, _ = d.Write(text[:]) // it never fails
-	_, _ = d.WriteString(s.ID)
-	return d.Sum64()
-}
--- a/placement/table.go
+++ b/placement/table.go
@@ -41,6 +41,7 @@
 		active  int
 		chats   int
 		pending time.Duration // of reading prompts that were given and haven't begun to be answered
+		late    time.Duration // the same, of those that go behind the others
 		wait    time.Duration // of requests in its queue, when last learnt
 		waitAt  time.Time
 		latency time.Duration // of requests without prompts, moving average
@@ -54,9 +55,15 @@
 
 	// told is what another relay told of one server.
 	told struct {
+		load Load
+		at   time.Time
+	}
+
+	// share is what all relays have given to one server.
+	share struct {
 		pending time.Duration
+		late    time.Duration
 		chats   int
-		at      time.Time
 	}
 )
 
@@ -111,7 +118,7 @@
 	var list []Load
 	for _, s := range t.servers {
 		if s.active > 0 {
-			list = append(list, Load{Server: s.ID, Pending: s.pending, Active: s.active, Chats: s.chats})
+			list = append(list, Load{Server: s.ID, Pending: s.pending, Late: s.late, Active: s.active, Chats: s.chats})
 		}
 	}
 	return list
@@ -132,7 +139,7 @@
 func (t *Table) Hear(now time.Time, relay string, list []Load, readings []Reading) {
 	loads := make(map[string]told, len(list))
 	for _, l := range list {
-		loads[l.Server] = told{pending: l.Pending, chats: l.Chats, at: now}
+		loads[l.Server] = told{load: l, at: now}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -155,17 +162,19 @@
 	}
 }
 
-// elsewhere sums up what other relays have lately given to a server.
-func (t *Table) elsewhere(now time.Time, id string) (pending time.Duration, chats int) {
+// given sums up what this relay, and lately the others, have given to a server.
+func (t *Table) given(now time.Time, s *server) share {
+	sum := share{pending: s.pending, late: s.late, chats: s.chats}
 	for _, loads := range t.others {
-		l, known := loads[id]
+		l, known := loads[s.ID]
 		if !known || now.Sub(l.at) > toldTime {
 			continue
 		}
-		pending += l.pending
-		chats += l.chats
+		sum.pending += l.load.Pending
+		sum.late += l.load.Late
+		sum.chats += l.load.Chats
 	}
-	return pending, chats
+	return sum
 }
 
 // Count returns how many servers of a service may get work.
@@ -191,8 +200,11 @@
 	if len(able) == 0 {
 		return Choice{}, fault.New(fault.Unavailable, fault.No, "no backend server of %s takes work now", ask.Service)
 	}
-	if len(ask.Prompt) == 0 {
+	switch {
+	case len(ask.Prompt) == 0:
 		return t.choosePlain(now, ask, able)
+	case ask.isChat():
+		return t.chooseChat(now, ask, able)
 	}
 	return t.choosePrompt(now, ask, able)
 }
@@ -223,7 +235,7 @@
 		return compare(a.plainCost(now, ask, unknown), b.plainCost(now, ask, unknown))
 	})
 	cost := best.plainCost(now, ask, unknown)
-	return Choice{Runner: t.ticket(now, best, ask, 0), Expect: time.Duration(cost)}, nil
+	return Choice{Runner: t.ticket(now, best, ask, reading{}), Expect: time.Duration(cost)}, nil
 }
 
 func (s *server) plainCost(now time.Time, ask Ask, unknown time.Duration) float64 {
@@ -252,18 +264,27 @@
 	return 0
 }
 
-func (t *Table) ticket(now time.Time, s *server, ask Ask, work time.Duration) *Ticket {
-	queue := t.pending(now, s)
+// ticket counts a request with a server that it is given to.
+func (t *Table) ticket(now time.Time, s *server, ask Ask, r reading) *Ticket {
+	k := &Ticket{Server: s.Server, table: t, reading: r}
+	k.chat = len(ask.Prompt) > 0 && ask.isChat()
 	s.active++
-	s.pending += work
-	chat := len(ask.Prompt) > 0 && ask.isChat()
-	if chat {
+	*s.waiting(r.late) += r.work
+	if k.chat {
 		s.chats++
 	}
 	if s.heard.IsZero() {
 		s.heard = now
 	}
-	return &Ticket{Server: s.Server, table: t, work: work, queue: queue, chat: chat}
+	return k
+}
+
+// waiting returns the work of a class that this relay has given to the server.
+func (s *server) waiting(late bool) *time.Duration {
+	if late {
+		return &s.late
+	}
+	return &s.pending
 }
 
 // Silent returns for how long nothing has come from the ticket's server.
@@ -295,8 +316,9 @@
 	if s == nil || work == 0 {
 		return
 	}
-	s.pending = max(s.pending-work, 0)
-	if first > 0 {
+	waiting := s.waiting(k.late)
+	*waiting = max(*waiting-work, 0)
+	if first > 0 && !k.late {
 		s.learnWait(now, max(first-work-k.queue, 0))
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -17,11 +17,10 @@
 	leastLeft  = 5 * time.Millisecond // a request isn't sent with less time for its answer
 	spareSends = 2                    // beyond a route's attempts, after answers that nothing ran
 	handleMost = 64 << 10             // bytes of the answer to a prompt's reading
-	waitShare  = 0.5                  // of a latency objective that a request may wait; the rest is for its prompt and the ways
-	ownShare   = 0.25                 // of the time for its own prompt that counts as waiting
 	urgent     = 1                    // priorities at an engine, where 0 goes first: of chats,
 	handed     = 3                    // of prompts that were read elsewhere,
-	ordinary   = 5                    // and of the rest, as if nothing were said
+	ordinary   = 5                    // of the rest, as if nothing were said,
+	overdue    = 8                    // and of prompts whose answers can't be in time
 	silentTime = time.Second          // without any answer, after which a server counts as lost
 )
 
@@ -36,12 +35,14 @@
 	body    []byte
 	service string
 	start   time.Time
-	until   time.Time // when the caller needs the whole answer
+	until   time.Time     // when the caller needs the whole answer
+	waited  time.Duration // of the caller, before this attempt of its own
 	ctx     context.Context
 	done    chan error
 
 	tried  map[string]bool // servers that had the request
 	direct bool            // no other server reads the prompt
+	late   bool            // the answer isn't expected in time
 	sends  int
 	runs   int    // sends that may have run
 	last   string // the event after which a stream goes on
@@ -140,15 +141,15 @@
 		Tokens:  j.ask.Tokens,
 		Tried:   j.tried,
 		Direct:  j.direct,
+		Target:  j.route.Target - now.Sub(j.start) - j.waited,
+		Left:    j.until.Sub(now),
+		Firm:    j.sends > 0 || j.route.Kind != routes.Stream,
 	})
 	if err != nil {
 		return err
 	}
 	j.expect = choice.Expect
-	if late := j.late(choice); late != nil {
-		choice.Withdraw(now)
-		return late
-	}
+	j.late = choice.Late
 	if j.sends == 0 {
 		j.relay.budget.First(now, j.service)
 	}
@@ -176,23 +177,12 @@
 		return urgent
 	case send.Handle != "":
 		return handed
+	case j.late:
+		return overdue
 	}
 	return ordinary
 }
 
-// late returns an error if the request would wait so long that its answer isn't
-// expected to begin in time. One that is taken on all the same makes others
-// late too. The time for its own prompt counts little, so that no size of
-// requests is refused much more often than others.
-func (j *job) late(c placement.Choice) error {
-	most := time.Duration(waitShare * float64(j.route.Target))
-	wait := c.Queue + time.Duration(ownShare*float64(c.Expect-c.Queue))
-	if j.route.Kind != routes.Stream || j.sends > 0 || wait <= most {
-		return nil
-	}
-	return fault.New(fault.Overloaded, fault.No, "the request would wait %v, and its answer is wanted in %v", c.Queue, j.route.Target)
-}
-
 // readFirst has a server read the prompt, and notes in send where its KV cache is.
 // Nothing has run by that.
 func (j *job) readFirst(choice placement.Choice, send *Send) error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,7 @@
 		view     *routes.View
 		roster   *roster.Roster
 		places   *placement.Table
+		patience *patience
 		budget   *budget.Budget
 		upstream *upstream.Pool
 		meters   *meters
@@ -145,6 +146,7 @@
 		view:     routes.NewView(),
 		roster:   roster.New(settings.Silence.Std()),
 		places:   placement.New(),
+		patience: newPatience(),
 		budget: budget.New(budget.Bound{
 			Ratio:  settings.RetryRatio,
 			Slack:  settings.RetrySlack,
