Let prompts that are worth more for an engine's time wait longer

Cause: at peaks engines can read half of what is asked. What a prompt is worth grows with its size, but less than the time to read what no engine holds of it.

--- a/placement/chat.go
+++ b/placement/chat.go
@@ -49,7 +49,7 @@
 		return Choice{}, errNoRunner(ask)
 	}
 	work := best.readTime(float64(ask.Tokens), ask.Tokens)
-	if !ask.Firm && !ask.inTime(bestQueue, bestQueue+work) && !ask.useful(bestQueue+work) {
+	if !ask.Firm && !ask.inTime(bestQueue, bestQueue+work, 1) && !ask.useful(bestQueue+work) {
 		return Choice{}, errLate(ask, bestQueue)
 	}
 	return Choice{
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,8 @@
 		Domain  string          // failure domain of the relay
 		Prompt  []Part          // in order; empty for a request without a prompt
 		Tokens  int             // of the whole prompt
+		Answer  int             // tokens of the answer at most; 0 if that isn't known
+		Class   string          // requests that are alike, by whose mean this one is weighed
 		Tried   map[string]bool // servers that are left out, by ID
 		Direct  bool            // the prompt is read where the answer is generated
 
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return Choice{}, err
 		}
-		if ask.Firm || ask.inTime(p.queue, p.expect) {
+		if ask.Firm || ask.inTime(p.queue, p.expect, r.stretch()) {
 			return r.take(p), nil
 		}
 	}
@@ -91,9 +91,18 @@
 // inTime reports whether an answer is expected to begin within the objective.
 // The time for the request's own prompt counts little, so that no size of
 // requests is refused much more often than others.
-func (a *Ask) inTime(queue, expect time.Duration) bool {
+func (a *Ask) inTime(queue, expect time.Duration, stretch float64) bool {
 	wait := queue + time.Duration(ownShare*float64(expect-queue))
-	return wait <= time.Duration(waitShare*float64(a.Target))
+	return wait <= time.Duration(stretch*waitShare*float64(a.Target))
+}
+
+// stretch weighs the prompt by what is left to read of it, wherever that is.
+func (r *round) stretch() float64 {
+	held := 0
+	if r.source != nil {
+		held = r.ask.shared(r.source.depth(r.chain))
+	}
+	return r.table.stretch(r.ask, readTime(readRate, float64(r.ask.Tokens-held), r.ask.Tokens))
 }
 
 // useful reports whether a late answer comes while its caller still waits.
@@ -266,10 +275,13 @@
 
 // readTime is the time to read so many tokens of a prompt of the given size.
 func (s *server) readTime(tokens float64, whole int) time.Duration {
-	rate := readRate
 	if s.Stage == roster.Decode {
-		rate *= decodeShare
+		return readTime(readRate*decodeShare, tokens, whole)
 	}
+	return readTime(readRate, tokens, whole)
+}
+
+func readTime(rate, tokens float64, whole int) time.Duration {
 	took := float64(firstTime) + tokens/rate*float64(time.Millisecond) + tokens*float64(whole)/1000*float64(pairTime)
 	return time.Duration(took)
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -31,6 +31,7 @@
 		byName  map[string][]*server       // by service, in the order of their IDs
 		others  map[string]map[string]told // of servers, by relay
 		engines map[string]routes.Engine   // by service
+		classes map[string]*class
 
 		readings []Reading // that this relay caused, the newest last
 		told     uint64    // readings that were dropped from the front
@@ -75,6 +76,7 @@
 		byName:  map[string][]*server{},
 		others:  map[string]map[string]told{},
 		engines: map[string]routes.Engine{},
+		classes: map[string]*class{},
 	}
 }
 
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -49,6 +49,7 @@
 		Time   time.Duration // that the caller waits; 0 if it doesn't say
 		Prompt []placement.Part
 		Tokens int    // of the prompt
+		Answer int    // tokens of the answer at most; 0 if it doesn't say
 		Last   string // the event after which a stream goes on; empty for its beginning
 		Header http.Header
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -139,6 +139,8 @@
 		Domain:  j.relay.host.Process.FailureDomain,
 		Prompt:  j.ask.Prompt,
 		Tokens:  j.ask.Tokens,
+		Answer:  j.ask.Answer,
+		Class:   j.route.Name,
 		Tried:   j.tried,
 		Direct:  j.direct,
 		Target:  j.route.Target - now.Sub(j.start) - j.waited,
