--- a/control/bed_test.go
+++ b/control/bed_test.go
@@ -94,6 +94,7 @@
 }
 
 // startAs starts an instance that does as founding says if its disk is empty.
+// Without a disk it is an observer.
 func (b *bed) startAs(name, founding string, disk *wal.Memory) *instance {
 	b.t.Helper()
 	process := kernel.DefaultProcess()
@@ -104,7 +105,9 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	c.UseDisk(disk)
+	if disk != nil {
+		c.UseDisk(disk)
+	}
 	if err := c.Start(b.t.Context()); err != nil {
 		b.t.Fatal(err)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -51,7 +51,7 @@
 		Operators string      `json:"operators" need:"yes"` // address for operators
 		Interface string      `json:"interface"`            // the operators' interface
 		Keys      []Operator  `json:"operatorKeys"`
-		Data      string      `json:"data" need:"yes"`     // the data folder
+		Data      string      `json:"data"`                // the data folder; an instance without one keeps nothing and has no vote
 		Founders  []Founder   `json:"founders" need:"yes"` // control instances of the first day; or, with "join", some that are there now
 		Founding  string      `json:"founding"`            // what an instance with an empty data folder does: survey, found or join
 		Transport string      `json:"transport"`
@@ -82,7 +82,8 @@
 		server   *wire.Server
 		gate     *gate.Gate
 		disk     wal.Disk
-		folder   *wal.Folder // nil where UseDisk gave another disk
+		folder   *wal.Folder // nil where there is no data folder, or UseDisk gave another disk
+		observes bool        // it has no disk
 		heard    *roster.Ledger
 		news     *news
 		journal  *wal.Journal
@@ -205,6 +206,12 @@
 	if c.disk != nil {
 		return nil
 	}
+	if c.settings.Data == "" {
+		c.log.Warn("no data folder: the instance keeps nothing and has no vote")
+		c.observes = true
+		c.disk = wal.NewMemory()
+		return nil
+	}
 	folder, err := wal.NewFolder(c.settings.Data)
 	if err != nil {
 		return err
--- a/control/founding.go
+++ b/control/founding.go
@@ -89,6 +89,9 @@
 // mustJoin reports whether an instance with an empty data folder joins a group
 // that is there, in place of founding it.
 func (f *founding) mustJoin(ctx context.Context) (bool, error) {
+	if f.control.observes {
+		return true, nil
+	}
 	switch f.control.settings.Founding {
 	case foundJoin:
 		return true, nil
@@ -212,7 +215,12 @@
 func (f *founding) member() quorum.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return quorum.Member{ID: f.identity.ID, Instance: f.identity.Instance, Address: f.control.settings.Listen}
+	return quorum.Member{
+		ID:       f.identity.ID,
+		Instance: f.identity.Instance,
+		Address:  f.control.settings.Listen,
+		Observer: f.control.observes,
+	}
 }
 
 // taken reports whether this replica finds itself among the members.
--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -13,6 +13,7 @@
 	"endivedeck.example/golden"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
+	"endivedeck.example/quorum"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
 	"endivedeck.example/wal"
@@ -119,6 +120,77 @@
 	})
 }
 
+// TestObserver has an instance without a disk serve operators: it has no vote,
+// and comes and goes without harm.
+func TestObserver(t *testing.T) {
+	var seen strings.Builder
+	note := func(format string, args ...any) { fmt.Fprintf(&seen, format+"\n", args...) }
+	inSeeded(t, []string{"seed-1", "seed-2", "seed-3"}, func(b *bed) {
+		b.startAs("thin", foundAtOnce, nil)
+		note("through it: %s", b.putRoutes("thin", table(3, "ledger")))
+		interval.Wait(b.t.Context(), 10*time.Second)
+		note("after 10 s: %d voters, %d members", b.awaitCount(3), len(b.members()))
+		b.kill("thin")
+		b.startAs("thin", foundJoin, nil)
+		note("started again: %s", b.readRoutesSoon("thin"))
+		interval.Wait(b.t.Context(), 10*time.Second)
+		note("after 10 s: %d voters, %d members", b.awaitCount(3), len(b.members()))
+		b.kill("seed-2")
+		note("with a seed gone: %s", b.putRoutes("thin", table(4, "ledger")))
+	})
+	golden.Check(t, "observer.golden", seen.String())
+}
+
+// TestDisksLost has all instances lose power right after an acknowledgement
+// and some come back with empty disks: eight can lose two, four can't.
+func TestDisksLost(t *testing.T) {
+	var seen strings.Builder
+	for _, c := range []struct{ instances, lost int }{{8, 2}, {4, 1}, {4, 2}} {
+		inSeeded(t, []string{"seed-1", "seed-2", "seed-3"}, func(b *bed) {
+			names := []string{"seed-1", "seed-2", "seed-3"}
+			for i := range c.instances - 3 {
+				name := fmt.Sprintf("later-%d", i+1)
+				b.startAs(name, foundAtOnce, wal.NewMemory())
+				names = append(names, name)
+			}
+			b.awaitCount(c.instances)
+			put := b.putRoutes("seed-1", table(7, "ledger"))
+			disks := map[string]*wal.Memory{}
+			for _, name := range names {
+				disks[name] = b.controls[name].disk
+				b.kill(name)
+			}
+			for i, name := range names {
+				if i < c.lost {
+					disks[name] = wal.NewMemory()
+				}
+				b.startAs(name, foundJoin, disks[name])
+			}
+			fmt.Fprintf(&seen, "%d instances, %d disks lost: %s, then %s\n", c.instances, c.lost, put, b.readRoutesSoon(names[c.lost]))
+		})
+	}
+	golden.Check(t, "disks.golden", seen.String())
+}
+
+// members returns the members that the leader knows.
+func (b *bed) members() []quorum.Member {
+	return b.controls[b.majorityLeader()].control.current().Lead().Status.Members
+}
+
+// readRoutesSoon returns the table as an instance tells it within 15 s.
+func (b *bed) readRoutesSoon(via string) string {
+	b.t.Helper()
+	got := ""
+	for range 150 {
+		got = b.readRoutes(via)
+		if strings.HasPrefix(got, "version") {
+			break
+		}
+		interval.Wait(b.t.Context(), 100*time.Millisecond)
+	}
+	return got
+}
+
 // awaitCount waits for a number of voters, and returns how many there are.
 func (b *bed) awaitCount(want int) int {
 	b.t.Helper()
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -6,10 +6,11 @@
 // voter, and false when there is none. A learner takes the place of the voter
 // that its instance was before it lost its disk; since one voter changes at a
 // time, that voter is removed by one change and the learner promoted by the
-// next, so the number of voters never grows by one that doesn't answer.
+// next, so the number of voters never grows by one that doesn't answer. An
+// observer stays a learner.
 func Promotion(members []Member, caughtUp func(id string) bool) ([]Member, bool) {
 	for _, learner := range members {
-		if learner.Voter || !caughtUp(learner.ID) {
+		if learner.Voter || learner.Observer || !caughtUp(learner.ID) {
 			continue
 		}
 		next := withoutInstance(members, learner.Instance)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -59,6 +59,7 @@
 		Instance string `cbor:"2,keyasint" json:"instance"`
 		Address  string `cbor:"3,keyasint" json:"address"`
 		Voter    bool   `cbor:"4,keyasint" json:"voter"`
+		Observer bool   `cbor:"5,keyasint,omitempty" json:"observer,omitempty"` // it keeps nothing, and never becomes a voter
 	}
 
 	// Entry is one place in the log.
--- a/wal/memory.go
+++ b/wal/memory.go
@@ -15,8 +15,9 @@
 var _ Disk = (*Memory)(nil)
 
 type (
-	// Memory is a Disk in memory that loses what wasn't synced when it
-	// crashes, for tests of what is built on a Disk. It is for one goroutine.
+	// Memory is a Disk in memory, for processes that keep nothing and for tests
+	// of what is built on a Disk: when it crashes it loses what wasn't synced.
+	// It is for one goroutine.
 	Memory struct {
 		CrashAt int   // the operation, counted from 1, before which it crashes; 0 for never
 		Fail    error // what Write and Sync return, if not nil
