--- a/relay/job.go
+++ b/relay/job.go
@@ -35,21 +35,20 @@
 	body    []byte
 	service string
 	start   time.Time
-	until   time.Time     // when the caller needs the whole answer
-	waited  time.Duration // of the caller, before this attempt of its own
+	until   time.Time // when the caller needs the whole answer
 	ctx     context.Context
 	done    chan error
 
-	tried  map[string]bool // servers that had the request
-	direct bool            // no other server reads the prompt
-	late   bool            // the answer isn't expected in time
-	sends  int
-	runs   int    // sends that may have run
-	last   string // the event after which a stream goes on
-	failed *failedAnswer
+	tried    map[string]bool // servers that had the request
+	direct   bool            // no other server reads the prompt
+	cameBack bool            // the caller was refused before
+	sends    int
+	runs     int    // sends that may have run
+	last     string // the event after which a stream goes on
+	failed   *failedAnswer
 
-	first  time.Duration // to the first byte of the answer
-	expect time.Duration // the same, as it was expected at the last choice
+	first  time.Duration    // to the first byte of the answer
+	choice placement.Choice // the last
 	server string
 	reader string
 	read   time.Duration // that the reader took
@@ -143,15 +142,14 @@
 		Class:   j.route.Name,
 		Tried:   j.tried,
 		Direct:  j.direct,
-		Target:  j.route.Target - now.Sub(j.start) - j.waited,
+		Target:  j.target(now),
 		Left:    j.until.Sub(now),
 		Firm:    j.sends > 0 || j.route.Kind != routes.Stream,
 	})
 	if err != nil {
 		return err
 	}
-	j.expect = choice.Expect
-	j.late = choice.Late
+	j.choice = choice
 	if j.sends == 0 {
 		j.relay.budget.First(now, j.service)
 	}
@@ -167,6 +165,14 @@
 	return j.run(choice.Runner, send)
 }
 
+// target returns what is left of the latency objective.
+func (j *job) target(now time.Time) time.Duration {
+	if j.cameBack {
+		return 0
+	}
+	return j.route.Target - now.Sub(j.start)
+}
+
 // priority puts answers that take long before long prompts: what was generated
 // for them already would have to be read again.
 // A prompt that was read elsewhere needs little more, and goes before those
@@ -179,7 +185,7 @@
 		return urgent
 	case send.Handle != "":
 		return handed
-	case j.late:
+	case j.choice.Late:
 		return overdue
 	}
 	return ordinary
--- a/relay/note.go
+++ b/relay/note.go
@@ -26,7 +26,17 @@
 	fields["server"] = j.server
 	fields["sends"] = j.sends
 	fields["runs"] = j.runs
-	fields["expect"] = j.expect.Milliseconds()
+	fields["queue"] = j.choice.Queue.Milliseconds()
+	fields["expect"] = j.choice.Expect.Milliseconds()
+	if j.choice.Late {
+		fields["late"] = true
+	}
+	if j.cameBack {
+		fields["back"] = true
+	}
+	if j.choice.Source != "" {
+		fields["source"] = j.choice.Source
+	}
 	fields["first"] = j.first.Milliseconds()
 	if j.ask.Tokens > 0 {
 		fields["tokens"] = j.ask.Tokens
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -75,7 +75,7 @@
 	if j.ask.Time > 0 && j.ask.Time < j.route.Timeout {
 		j.until = j.start.Add(j.ask.Time)
 	}
-	j.waited = r.patience.waited(j.route.Name, j.ask.Time)
+	j.cameBack = r.patience.cameBack(j.route.Name, j.ask.Time)
 	_ = j.out.control.SetWriteDeadline(j.until.Add(writeSpare)) // without one, a caller that reads nothing holds a worker
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.until)
 	defer cancel()
