Keep late prompts away from engines that generate chats

A chat of 12,000 tokens beside prompts that are read all the time takes longer than its caller waits. Change: a prompt whose answer can't be in time is read only by engines that generate no chats, or by those that only read.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -55,6 +55,7 @@
 		runner *server       // that generates, where that is another one
 		source *server       // whose memory has more of the prompt; nil for none
 		late   bool          // behind what can still be in time
+		chats  int           // that the server generates
 		queue  time.Duration // before it is read
 		work   time.Duration // to read what has to be read
 		taken  int           // tokens that the server's memory takes in
@@ -132,7 +133,8 @@
 	return best
 }
 
-// best returns the plan of the least cost.
+// best returns the plan of the least cost. A late answer isn't worth that
+// chats are held up by its prompt.
 func (r *round) best(late bool) (plan, error) {
 	var reader, whole plan
 	var runner *server
@@ -145,29 +147,32 @@
 			}
 			continue
 		}
-		if whole.server == nil || p.cost < whole.cost {
+		if (whole.server == nil || p.cost < whole.cost) && (!late || p.chats == 0) {
 			whole = p
 		}
 		if queue, cost := r.runCost(s); runner == nil || cost < runnerCost {
 			runner, runnerQueue, runnerCost = s, queue, cost
 		}
 	}
-	if whole.server == nil {
+	if runner == nil {
 		return plan{}, errNoRunner(r.ask)
 	}
-	if reader.server != nil && reader.cost+handTime+runnerCost < whole.cost {
+	if reader.server != nil && (whole.server == nil || reader.cost+handTime+runnerCost < whole.cost) {
 		reader.runner = runner
 		reader.queue += runnerQueue
 		reader.expect += runnerQueue + handTime
 		return reader, nil
 	}
+	if whole.server == nil {
+		return plan{}, fault.New(fault.Overloaded, fault.No, "all engines of %s generate chats, and the answer would be late", r.ask.Service)
+	}
 	return whole, nil
 }
 
 // plan reckons how a server would read the prompt, with what another one holds.
 func (r *round) plan(s *server, late bool) plan {
 	given := r.table.given(r.now, s)
-	p := plan{server: s, late: late, queue: s.queue(r.now, given, late)}
+	p := plan{server: s, late: late, chats: given.chats, queue: s.queue(r.now, given, late)}
 	if s.Stage != roster.Prefill {
 		p.queue += time.Duration(given.chats) * chatDelay
 	}
