Count KV cache as held where it was generated once it is there; test memory, late prompts and worth

Cause: found while writing TestMemory: a prompt that is read elsewhere counted as held by the generating engine at once, so that others would have asked it for parts that it had not got yet; and parts were asked of servers that rest. Change: a generating engine holds a prompt once its answer begins; parts are moved only from servers that take work. Tests of the memory, of late prompts, of the stretch and of callers that came back.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,6 +83,8 @@
 		work  time.Duration // as expected
 		queue time.Duration // before it, as expected
 		late  bool          // it goes behind what can still be in time
+		chain []uint64      // prefixes that the server holds once the answer begins
+		taken int           // tokens that its memory takes in by then
 	}
 )
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"endivedeck.example/fault"
 	"endivedeck.example/golden"
 	"endivedeck.example/roster"
+	"endivedeck.example/routes"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -199,3 +201,119 @@
 		})
 	}
 }
+
+// TestMemory reads prompts with the same shared parts at several engines: what
+// one holds is moved to others, until so much has come in that it has yielded.
+func TestMemory(t *testing.T) {
+	var got strings.Builder
+	table := engines()
+	table.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}})
+	place := func(what string, ask Ask) Choice {
+		c, err := table.Choose(start, ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&got, "%s: read at %s, from the memory of %s, generated at %s, begins in %d ms\n", what, name(c.Reader), address(c), name(c.Runner), c.Expect.Milliseconds())
+		return c
+	}
+	c := place("first", prompt(5))
+	place("the same parts, while the first is read", prompt(5)).Withdraw(start)
+	c.Runner.Begun(start, 20*time.Millisecond)
+	place("once the first is generated", prompt(5))
+	place("other parts", prompt(6))
+	readings, next := table.Readings(0)
+	_, after := table.Readings(next)
+	more := after - next
+	fmt.Fprintf(&got, "told to others: %d readings, then %d\n", len(readings), more)
+
+	other := engines()
+	other.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}})
+	other.Hear(start, "relay-1", nil, readings)
+	table = other
+	place("at another relay, with all engines idle", prompt(5))
+	for i := range 200 {
+		c, err := table.Choose(start, prompt(uint64(100+i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Withdraw(start)
+	}
+	place("after 200 others", prompt(5))
+	golden.Check(t, "memory.golden", got.String())
+}
+
+func address(c Choice) string {
+	if c.Source == "" {
+		return "nobody"
+	}
+	return c.Source
+}
+
+// TestLate fills the engines: what can't be in time goes behind the others and
+// away from chats, and is refused once even that takes too long. One that can
+// be in time still goes before all of these.
+func TestLate(t *testing.T) {
+	var got strings.Builder
+	table := engines()
+	if _, err := table.Choose(start, chat()); err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]int{}
+	for i := range 400 {
+		c, err := table.Choose(start, prompt(uint64(10+i)))
+		switch {
+		case err != nil:
+			counts["refused: "+string(fault.Of(err))]++
+		case c.Late && c.Reader == nil:
+			counts["late, at "+name(c.Runner)]++
+		case c.Late:
+			counts["late, read elsewhere"]++
+		default:
+			counts["in time"]++
+		}
+	}
+	fmt.Fprintln(&got, "400 at once:", counts)
+	back := prompt(9)
+	back.Target = 0
+	empty := engines()
+	c, err := empty.Choose(start, back)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&got, "one whose objective is missed, with idle engines: late %v, waits %v\n", c.Late, c.Queue)
+	c, err = empty.Choose(start, prompt(8))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&got, "one that can be in time, after it: late %v, waits %v\n", c.Late, c.Queue)
+	firm := prompt(7)
+	firm.Firm = true
+	c, err = table.Choose(start, firm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&got, "one that must be placed, behind 400: late %v\n", c.Late)
+	golden.Check(t, "late.golden", got.String())
+}
+
+// TestStretch weighs prompts by what they are worth for the time to read them.
+func TestStretch(t *testing.T) {
+	var got strings.Builder
+	table := New()
+	for range 200 {
+		table.stretch(Ask{Class: "notes", Tokens: 9000, Answer: 100}, 12*time.Millisecond)
+	}
+	for _, c := range []struct {
+		name   string
+		tokens int
+		work   time.Duration
+	}{
+		{"an average one", 9000, 12 * time.Millisecond},
+		{"mostly held", 9000, 5 * time.Millisecond},
+		{"small and held", 7000, 4 * time.Millisecond},
+		{"large, nothing held", 25_000, 70 * time.Millisecond},
+	} {
+		fmt.Fprintf(&got, "%s: %.2f\n", c.name, table.stretch(Ask{Class: "notes", Tokens: c.tokens, Answer: 100}, c.work))
+	}
+	golden.Check(t, "stretch.golden", got.String())
+}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -120,11 +120,12 @@
 }
 
 // holder returns the server that holds most of the prompt's shared parts, a
-// near one before others.
+// near one before others. One that rests, or has failed this request, isn't
+// asked for them.
 func (r *round) holder() *server {
 	var best *server
 	most := 0
-	for _, s := range r.table.byName[r.ask.Service] {
+	for _, s := range r.able {
 		depth := s.depth(r.chain)
 		if depth > most || depth > 0 && depth == most && s.Domain == r.ask.Domain {
 			best, most = s, depth
@@ -217,8 +218,8 @@
 		return c
 	}
 	c.Reader = k
-	t.read(p.runner, r.chain, r.ask.Tokens-r.ask.shared(p.runner.depth(r.chain)))
-	c.Runner = t.ticket(r.now, p.runner, r.ask, reading{work: stepTime})
+	taken := r.ask.Tokens - r.ask.shared(p.runner.depth(r.chain))
+	c.Runner = t.ticket(r.now, p.runner, r.ask, reading{work: stepTime, chain: r.chain, taken: taken})
 	return c
 }
 
--- a/placement/table.go
+++ b/placement/table.go
@@ -307,6 +307,10 @@
 	s := k.table.servers[k.Server.ID]
 	if s != nil {
 		s.heard = now
+		if k.taken > 0 {
+			k.table.read(s, k.chain, k.taken)
+			k.taken = 0
+		}
 	}
 	k.settle(now, s, first)
 }
--- a/relay/bed_test.go
+++ b/relay/bed_test.go
@@ -223,8 +223,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	line := r.Method + " " + r.RequestURI
-	for _, name := range []string{"Stage", "Kv-Source", "Last-Event-Id", "Request-Priority", "Kv-Hold"} {
+	for _, name := range []string{"Stage", "Kv-Fetch", "Kv-Source", "Last-Event-Id", "Request-Priority", "Kv-Hold"} {
 		if value := r.Header.Get(name); value != "" {
+			if name == "Kv-Fetch" {
+				value = "memory" // its port differs each time
+			}
 			line += " " + name + "=" + value[strings.LastIndex(value, "/")+1:]
 		}
 	}
