Serve the largest prompts of a class at least three quarters as often as all

What is worth most for an engine's time is mostly what is small. Change: each class has estimates of its sizes' quantiles and of the share that is served of the largest tenth, the fifth below it, and all.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -296,24 +296,33 @@
 	golden.Check(t, "late.golden", got.String())
 }
 
-// TestStretch weighs prompts by what they are worth for the time to read them.
-func TestStretch(t *testing.T) {
+// TestWorth weighs prompts by what they are worth for the time to read them.
+// Large ones that were refused too often wait as long as what is worth most.
+func TestWorth(t *testing.T) {
 	var got strings.Builder
 	table := New()
-	for range 200 {
-		table.stretch(Ask{Class: "notes", Tokens: 9000, Answer: 100}, 12*time.Millisecond)
+	asks := func(tokens int) Ask { return Ask{Class: "notes", Tokens: tokens, Answer: 100} }
+	class := table.class(asks(9000))
+	for i := range 2000 {
+		ask := asks(6000 + 60*(i*37%100))
+		class.weigh(ask, 12*time.Millisecond)
+		class.note(ask, 1)
 	}
-	for _, c := range []struct {
-		name   string
-		tokens int
-		work   time.Duration
-	}{
-		{"an average one", 9000, 12 * time.Millisecond},
-		{"mostly held", 9000, 5 * time.Millisecond},
-		{"small and held", 7000, 4 * time.Millisecond},
-		{"large, nothing held", 25_000, 70 * time.Millisecond},
-	} {
-		fmt.Fprintf(&got, "%s: %.2f\n", c.name, table.stretch(Ask{Class: "notes", Tokens: c.tokens, Answer: 100}, c.work))
+	fmt.Fprintf(&got, "large from %.0f, largest from %.0f\n", class.large, class.largest)
+	weigh := func(what string, tokens int, work time.Duration) {
+		fmt.Fprintf(&got, "%s: %.2f\n", what, class.weigh(asks(tokens), work))
 	}
-	golden.Check(t, "stretch.golden", got.String())
+	weigh("an average one", 9000, 12*time.Millisecond)
+	weigh("mostly held", 9000, 5*time.Millisecond)
+	weigh("small and held", 7000, 4*time.Millisecond)
+	weigh("large, nothing held", 25_000, 70*time.Millisecond)
+	for range 8 {
+		class.note(asks(25_000), 0)
+		for range 9 {
+			class.note(asks(7000), 1)
+		}
+	}
+	weigh("the same, once eight like it were refused", 25_000, 70*time.Millisecond)
+	weigh("a less large one", 11_000, 70*time.Millisecond)
+	golden.Check(t, "worth.golden", got.String())
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -70,12 +70,14 @@
 func (t *Table) choosePrompt(now time.Time, ask Ask, able []*server) (Choice, error) {
 	r := &round{table: t, now: now, ask: ask, chain: ask.chain(), able: able}
 	r.source = r.holder()
+	class := t.class(ask)
 	if ask.Target > 0 || ask.Firm {
 		p, err := r.best(false)
 		if err != nil {
 			return Choice{}, err
 		}
-		if ask.Firm || ask.inTime(p.queue, p.expect, r.stretch()) {
+		if ask.Firm || ask.inTime(p.queue, p.expect, class.weigh(ask, r.alone())) {
+			class.note(ask, 1)
 			return r.take(p), nil
 		}
 	}
@@ -83,27 +85,29 @@
 	if err != nil {
 		return Choice{}, err
 	}
-	if ask.useful(p.expect) {
-		return r.take(p), nil
+	if !ask.useful(p.expect) {
+		class.note(ask, 0)
+		return Choice{}, errLate(ask, p.queue)
 	}
-	return Choice{}, errLate(ask, p.queue)
+	class.note(ask, servedLate)
+	return r.take(p), nil
 }
 
 // inTime reports whether an answer is expected to begin within the objective.
 // The time for the request's own prompt counts little, so that no size of
-// requests is refused much more often than others.
+// requests is refused much more often than others; stretch is from class.weigh.
 func (a *Ask) inTime(queue, expect time.Duration, stretch float64) bool {
 	wait := queue + time.Duration(ownShare*float64(expect-queue))
 	return wait <= time.Duration(stretch*waitShare*float64(a.Target))
 }
 
-// stretch weighs the prompt by what is left to read of it, wherever that is.
-func (r *round) stretch() float64 {
+// alone returns the time to read what no engine holds of the prompt.
+func (r *round) alone() time.Duration {
 	held := 0
 	if r.source != nil {
 		held = r.ask.shared(r.source.depth(r.chain))
 	}
-	return r.table.stretch(r.ask, readTime(readRate, float64(r.ask.Tokens-held), r.ask.Tokens))
+	return readTime(readRate, float64(r.ask.Tokens-held), r.ask.Tokens)
 }
 
 // useful reports whether a late answer comes while its caller still waits.
