--- a/relay/serve.go
+++ b/relay/serve.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// comeBack is when a caller may try again: the work that a busy engine
-	// has before it is done by then, and half of an urgent caller's patience
-	// is left.
-	comeBack = 300 * time.Millisecond
+	// comeBack is when a caller may try again: the late prompts before it are
+	// read by then, and it has most of its time left.
+	comeBack = 600 * time.Millisecond
 
 	writeSpare = time.Second // after a caller's time, for the last bytes to leave
 
