Reckon with the rest of a late prompt, and with generating engines as fast as they were seen

Change: an engine that generates reads at 0.38 of the rate (0.3), and 12 ms of a late prompt count as before one that can be in time (5).

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -14,7 +14,7 @@
 	// A prompt's reading as the engines' sheets have it. What it takes longer
 	// is learnt as a wait.
 	readRate    = 400.0                  // tokens in a millisecond
-	decodeShare = 0.3                    // of that rate at an engine that generates meanwhile: half, in small pieces between its steps
+	decodeShare = 0.38                   // of that rate at an engine that generates meanwhile: half, in small pieces between its steps
 	pairTime    = 65 * time.Nanosecond   // for each thousand pairs of a new token and one before it
 	firstTime   = 3 * time.Millisecond   // besides, for each prompt
 	stepTime    = 700 * time.Microsecond // of generating one token
@@ -23,7 +23,8 @@
 	moveStart = 500 * time.Microsecond // before KV cache begins to move
 	farTime   = time.Millisecond       // more, between failure domains
 
-	beingRead = 5 * time.Millisecond // of a prompt's reading, before which a more urgent request goes
+	beingRead = 5 * time.Millisecond  // of a prompt's reading, before which a more urgent request goes
+	lateRead  = 12 * time.Millisecond // left on average of a late prompt that is being read; it isn't broken off
 
 	waitShare = 0.5  // of a latency objective that a request may wait; the rest is for its prompt and the ways
 	ownShare  = 0.25 // of the time for its own prompt that counts as waiting
@@ -268,7 +269,7 @@
 	if late {
 		return wait + given.late
 	}
-	return wait + min(given.late, beingRead)
+	return wait + min(given.late, lateRead)
 }
 
 func (s *server) far(ask Ask) time.Duration {
