Learn from idle engines how fast they read

Change: a pace for each service and stage, learnt from prompts that found an idle engine. TestPace has engines that are three times as slow. The log lines go to standard output as the operators ask.

--- a/command/check.go
+++ b/command/check.go
@@ -13,7 +13,7 @@
 )
 
 // logOutput is where the log lines of a process go.
-var logOutput io.Writer = os.Stderr
+var logOutput io.Writer = os.Stdout
 
 func init() {
 	Commands.Register("check", func(out io.Writer) subcommands.Command { return &check{out: out} })
--- a/command/serve.go
+++ b/command/serve.go
@@ -27,7 +27,7 @@
 func (c *serve) Synopsis() string { return "run a process of the role " + c.role }
 
 func (c *serve) Usage() string {
-	return fmt.Sprintf("endivedeck %[1]s -settings FILE\n\nRun a process of the role %[1]s until SIGTERM or SIGINT, which stop it\ngracefully. Log lines go to standard error.\n\nExample: endivedeck %[1]s -settings examples/willow/%[1]s-1.json\n\n", c.role)
+	return fmt.Sprintf("endivedeck %[1]s -settings FILE\n\nRun a process of the role %[1]s until SIGTERM or SIGINT, which stop it\ngracefully. Log lines go to standard output.\n\nExample: endivedeck %[1]s -settings examples/willow/%[1]s-1.json\n\n", c.role)
 }
 
 func (c *serve) SetFlags(f *flag.FlagSet) {
--- a/placement/chat.go
+++ b/placement/chat.go
@@ -48,7 +48,7 @@
 	if best == nil {
 		return Choice{}, errNoRunner(ask)
 	}
-	work := best.readTime(float64(ask.Tokens), ask.Tokens)
+	work := t.readTime(best, float64(ask.Tokens), ask.Tokens)
 	if !ask.Firm && !ask.inTime(bestQueue, bestQueue+work, 1) && !ask.useful(bestQueue+work) {
 		return Choice{}, errLate(ask, bestQueue)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -326,3 +326,28 @@
 	weigh("a less large one", 11_000, 70*time.Millisecond)
 	golden.Check(t, "worth.golden", got.String())
 }
+
+// TestPace has engines that read three times as slowly as sheets have it, which
+// the time of the first prompts at idle engines tells.
+func TestPace(t *testing.T) {
+	table := engines()
+	now := start
+	want := 3.0
+	for i := range 200 {
+		c, err := table.Choose(now, prompt(uint64(10+i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		reads := c.Reader
+		if reads == nil {
+			reads = c.Runner
+		}
+		plain := float64(reads.work) / table.pace(table.servers[reads.Server.ID])
+		reads.Begun(now, time.Duration(want*plain))
+		c.Withdraw(now)
+		now = now.Add(time.Second)
+	}
+	if got := table.pace(table.servers["p1"]); got < 0.9*want || got > 1.1*want {
+		t.Errorf("got a pace of %.2f, want about %.2f", got, want)
+	}
+}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -194,7 +194,7 @@
 		}
 	}
 	read := float64(r.ask.Tokens-held-moved) + missHeld*float64(held) + missMoved*float64(moved)
-	p.work = s.readTime(read, r.ask.Tokens)
+	p.work = r.table.readTime(s, read, r.ask.Tokens)
 	p.taken = r.ask.Tokens - held
 	p.expect = p.queue + move + p.work + s.far(r.ask)
 	p.cost = p.expect + keepCost(p.taken)
@@ -284,12 +284,14 @@
 	return time.Duration(keepShare * float64(tokens) / readRate * float64(time.Millisecond))
 }
 
-// readTime is the time to read so many tokens of a prompt of the given size.
-func (s *server) readTime(tokens float64, whole int) time.Duration {
+// readTime is the time in which a server reads so many tokens of a prompt of
+// the given size.
+func (t *Table) readTime(s *server, tokens float64, whole int) time.Duration {
+	rate := readRate
 	if s.Stage == roster.Decode {
-		return readTime(readRate*decodeShare, tokens, whole)
+		rate *= decodeShare
 	}
-	return readTime(readRate, tokens, whole)
+	return time.Duration(t.pace(s) * float64(readTime(rate, tokens, whole)))
 }
 
 func readTime(rate, tokens float64, whole int) time.Duration {
--- a/placement/table.go
+++ b/placement/table.go
@@ -32,6 +32,7 @@
 		others  map[string]map[string]told // of servers, by relay
 		engines map[string]routes.Engine   // by service
 		classes map[string]*class
+		paces   map[pace]float64 // time for a prompt against readTime's, moving average
 
 		readings []Reading // that this relay caused, the newest last
 		told     uint64    // readings that were dropped from the front
@@ -77,6 +78,7 @@
 		others:  map[string]map[string]told{},
 		engines: map[string]routes.Engine{},
 		classes: map[string]*class{},
+		paces:   map[pace]float64{},
 	}
 }
 
@@ -324,8 +326,12 @@
 	}
 	waiting := s.waiting(k.late)
 	*waiting = max(*waiting-work, 0)
-	if first > 0 && !k.late {
-		s.learnWait(now, max(first-work-k.queue, 0))
+	if first <= 0 || k.late {
+		return
+	}
+	s.learnWait(now, max(first-work-k.queue, 0))
+	if k.queue < idleQueue && !k.chat && work > firstTime {
+		k.table.learnPace(s, float64(first)/float64(work))
 	}
 }
 
