--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -26,7 +26,7 @@
 	beingRead = 5 * time.Millisecond  // of a prompt's reading, before which a more urgent request goes
 	lateRead  = 12 * time.Millisecond // left on average of a late prompt that is being read; it isn't broken off
 
-	waitShare = 0.5  // of a latency objective that a request may wait; the rest is for its prompt and the ways
+	waitShare = 0.6  // of a latency objective that a request may wait; the rest is for its prompt and the ways
 	ownShare  = 0.25 // of the time for its own prompt that counts as waiting
 	lateShare = 0.4  // of a caller's time that the prompt of a late answer may take; the rest is for others that come, and for generating
 
