--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -207,7 +207,7 @@
 func TestMemory(t *testing.T) {
 	var got strings.Builder
 	table := engines()
-	table.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}})
+	table.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}}, nil)
 	place := func(what string, ask Ask) Choice {
 		c, err := table.Choose(start, ask)
 		if err != nil {
@@ -227,7 +227,7 @@
 	fmt.Fprintf(&got, "told to others: %d readings, then %d\n", len(readings), more)
 
 	other := engines()
-	other.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}})
+	other.Describe(map[string]routes.Engine{"assist": {Memory: 100_000, TokenBytes: 262144, Link: 2e12}}, nil)
 	other.Hear(start, "relay-1", nil, readings)
 	table = other
 	place("at another relay, with all engines idle", prompt(5))
--- a/relay/patience_test.go
+++ b/relay/patience_test.go
@@ -6,25 +6,32 @@
 )
 
 // TestCameBack tells callers that were refused before from those whose
-// patience differs.
+// patience differs, and learns that callers have become less patient.
 func TestCameBack(t *testing.T) {
 	p := newPatience()
+	start := time.Unix(1_800_000_000, 0)
 	for _, c := range []struct {
-		left time.Duration
-		want bool
+		at, left time.Duration
+		want     bool
 	}{
-		{0, false},
-		{1700 * time.Millisecond, false}, // nobody was more patient yet
-		{2000 * time.Millisecond, false},
-		{1700 * time.Millisecond, false},
-		{1650 * time.Millisecond, true},
-		{300 * time.Millisecond, true},
+		{0, 1700 * time.Millisecond, false}, // nobody was more patient yet
+		{0, 2000 * time.Millisecond, false},
+		{time.Second, 1700 * time.Millisecond, false},
+		{time.Second, 1650 * time.Millisecond, true},
+		{19 * time.Second, 300 * time.Millisecond, true},
+		{21 * time.Second, 800 * time.Millisecond, true},
+		{42 * time.Second, 800 * time.Millisecond, false}, // the patient ones were two stretches ago
+		{200 * time.Second, 500 * time.Millisecond, false},
 	} {
-		if got := p.cameBack("notes", c.left); got != c.want {
-			t.Errorf("with %v left: got %v, want %v", c.left, got, c.want)
+		if got := p.cameBack(start.Add(c.at), "notes", c.left); got != c.want {
+			t.Errorf("at %v with %v left: got %v, want %v", c.at, c.left, got, c.want)
 		}
 	}
-	if p.cameBack("orders", 300*time.Millisecond) {
+	if p.cameBack(start, "orders", 300*time.Millisecond) {
 		t.Error("got that the first caller of another route came back, want that it didn't")
 	}
+	p.retain(map[string]bool{"orders": true})
+	if got, want := len(p.routes), 1; got != want {
+		t.Errorf("got %d routes after one was dropped, want %d", got, want)
+	}
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -74,7 +74,7 @@
 	if j.ask.Time > 0 && j.ask.Time < j.route.Timeout {
 		j.until = j.start.Add(j.ask.Time)
 	}
-	j.cameBack = r.patience.cameBack(j.route.Name, j.ask.Time)
+	j.cameBack = r.patience.cameBack(j.start, j.route.Name, j.until.Sub(j.start))
 	_ = j.out.control.SetWriteDeadline(j.until.Add(writeSpare)) // without one, a caller that reads nothing holds a worker
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.until)
 	defer cancel()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -79,7 +79,9 @@
 // take takes in what a control instance tells.
 func (r *Relay) take(now time.Time, from string, news message.News) {
 	if news.Routes != nil && r.view.Advance(*news.Routes) {
-		r.places.Describe(r.view.Engines())
+		names := r.view.Names()
+		r.places.Describe(r.view.Engines(), names)
+		r.patience.retain(names)
 		r.log.WithField("version", news.Routes.Version).WithField("routes", len(news.Routes.Routes)).
 			WithField("control", from).Info("routes in force")
 	}
--- a/routes/view.go
+++ b/routes/view.go
@@ -75,6 +75,17 @@
 	return engines
 }
 
+// Names returns the names of the routes.
+func (v *View) Names() map[string]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	names := make(map[string]bool, len(v.places))
+	for _, r := range v.places {
+		names[r.Name] = true
+	}
+	return names
+}
+
 // Match returns the route with the longest prefix of path on a host, which may
 // have a port, or nil, and the version that it is from. What it returns is
 // shared and must not be changed.
