Send a stream elsewhere when a server takes it and never begins

Cause: found by a test of connections that fall silent: a backend server that takes a request and never answers kept it until the caller's time was over, also where the stream may go on elsewhere; only a stream that had begun was watched. TestSilentServer fails without it (504).

--- a/relay/job.go
+++ b/relay/job.go
@@ -22,6 +22,7 @@
 	ordinary   = 5                    // of the rest, as if nothing were said,
 	overdue    = 8                    // and of prompts whose answers can't be in time
 	silentTime = time.Second          // without any answer, after which a server counts as lost
+	lateTimes  = 3                    // how much longer than expected a stream may take to begin, besides stallTime; late prompts are passed by others
 )
 
 // job is one caller's request.
@@ -246,8 +247,15 @@
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	var silent *time.Timer
+	if j.route.Kind == routes.Stream && j.route.Repeatable() {
+		silent = time.AfterFunc(stallTime+lateTimes*j.choice.Expect, cancel)
+	}
 	sent := time.Now()
 	answer, err := j.send(ctx, send)
+	if silent != nil {
+		silent.Stop()
+	}
 	if err != nil {
 		ticket.End(time.Now(), placement.Outcome{Result: j.resultOf(ticket, err)})
 		if fault.From(err).Ran != fault.No {
