--- a/relay/mates.go
+++ b/relay/mates.go
@@ -22,7 +22,8 @@
 	matePause = 500 * time.Millisecond // before a relay that can't be reached is tried again
 )
 
-// mate is another relay, which is told what this one has given to each server.
+// mate is another relay, which is told what this one has given to each server,
+// and which prompts it has had read.
 type mate struct {
 	relay   *Relay
 	address string
