Take a prompt's parts for no more tokens than the prompt has

Cause: read through for bad input: a caller whose parts have more tokens than its prompt made an engine seem to have less than nothing to do, and to hold less than nothing, at all relays. Change: shared parts count for at most the whole prompt. TestWrongCounts failed before (-53 ms expected, -71 ms of work).

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -296,6 +296,31 @@
 	golden.Check(t, "late.golden", got.String())
 }
 
+// TestWrongCounts places prompts whose parts don't add up to what their callers
+// count: no engine seems to have less than nothing to do.
+func TestWrongCounts(t *testing.T) {
+	table := engines()
+	for _, tokens := range []int{1025, 2000, 9200, 1 << 30} {
+		for range 2 {
+			ask := prompt(5)
+			ask.Tokens = tokens
+			ask.Firm = true
+			c, err := table.Choose(start, ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.Expect <= 0 {
+				t.Errorf("%d tokens with parts of 9,200: got an answer expected in %v, want some time", tokens, c.Expect)
+			}
+		}
+		for id, s := range table.servers {
+			if s.pending < 0 || s.late < 0 || s.memory.in < 0 {
+				t.Errorf("%d tokens: got %v and %v of work and %d tokens at %s, want nothing below 0", tokens, s.pending, s.late, s.memory.in, id)
+			}
+		}
+	}
+}
+
 // TestWorth weighs prompts by what they are worth for the time to read them.
 // Large ones that were refused too often wait as long as what is worth most.
 func TestWorth(t *testing.T) {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -243,13 +243,14 @@
 	return names
 }
 
-// shared returns the tokens of the prompt's first parts.
+// shared returns the tokens of the prompt's first parts. A caller may count its
+// parts wrongly: they have no more tokens than the whole prompt.
 func (a *Ask) shared(parts int) int {
 	tokens := 0
 	for _, p := range a.Prompt[:parts] {
 		tokens += p.Tokens
 	}
-	return tokens
+	return min(tokens, a.Tokens)
 }
 
 // depth returns how many of a prompt's prefixes the server is expected to hold.
