Have TestMemory see that prefixes yield; give three names to one thing each

Cause: read as a newcomer would: the last step of TestMemory never let the generating engines take the other prompts in, so that it couldn't see whether the shared parts yield; "weigh", "told" and "size" each named two things in one package. Change: the others are generated too, and the parts are read anew; class.stretch, Table.dropped and group.

--- a/placement/loads.go
+++ b/placement/loads.go
@@ -41,9 +41,9 @@
 func (t *Table) Readings(since uint64) ([]Reading, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := t.told + uint64(len(t.readings))
-	since = min(max(since, t.told), next)
-	return slices.Clone(t.readings[since-t.told:]), next
+	next := t.dropped + uint64(len(t.readings))
+	since = min(max(since, t.dropped), next)
+	return slices.Clone(t.readings[since-t.dropped:]), next
 }
 
 // Hear takes in what another relay has given to each server, and what it has
@@ -70,7 +70,7 @@
 	t.readings = append(t.readings, Reading{Server: s.ID, Prefixes: prefixes, Tokens: tokens})
 	if over := len(t.readings) - most; over >= most {
 		t.readings = slices.Clone(t.readings[over:])
-		t.told += uint64(over)
+		t.dropped += uint64(over)
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -236,6 +236,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		c.Runner.Begun(start, 20*time.Millisecond)
 		c.Withdraw(start)
 	}
 	place("after 200 others", prompt(5))
@@ -330,12 +331,12 @@
 	class := table.class(asks(9000))
 	for i := range 2000 {
 		ask := asks(6000 + 60*(i*37%100))
-		class.weigh(ask, 12*time.Millisecond)
+		class.stretch(ask, 12*time.Millisecond)
 		class.note(ask, 1)
 	}
 	fmt.Fprintf(&got, "large from %.0f, largest from %.0f\n", class.large, class.largest)
 	weigh := func(what string, tokens int, work time.Duration) {
-		fmt.Fprintf(&got, "%s: %.2f\n", what, class.weigh(asks(tokens), work))
+		fmt.Fprintf(&got, "%s: %.2f\n", what, class.stretch(asks(tokens), work))
 	}
 	weigh("an average one", 9000, 12*time.Millisecond)
 	weigh("mostly held", 9000, 5*time.Millisecond)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -77,7 +77,7 @@
 		if err != nil {
 			return Choice{}, err
 		}
-		if ask.Firm || ask.inTime(p.queue, p.expect, class.weigh(ask, r.alone())) {
+		if ask.Firm || ask.inTime(p.queue, p.expect, class.stretch(ask, r.alone())) {
 			class.note(ask, 1)
 			return r.take(p), nil
 		}
@@ -96,7 +96,7 @@
 
 // inTime reports whether an answer is expected to begin within the objective.
 // The time for the request's own prompt counts little, so that no size of
-// requests is refused much more often than others; stretch is from class.weigh.
+// requests is refused much more often than others; stretch is from class.stretch.
 func (a *Ask) inTime(queue, expect time.Duration, stretch float64) bool {
 	wait := queue + time.Duration(ownShare*float64(expect-queue))
 	return wait <= time.Duration(stretch*waitShare*float64(a.Target))
--- a/placement/table.go
+++ b/placement/table.go
@@ -23,7 +23,7 @@
 		paces   map[pace]float64 // time for a prompt against readTime's, moving average
 
 		readings []Reading // that this relay caused, the newest last
-		told     uint64    // readings that were dropped from the front
+		dropped  uint64    // readings that were dropped from the front
 	}
 
 	server struct {
--- a/placement/worth.go
+++ b/placement/worth.go
@@ -33,19 +33,19 @@
 		rate    float64 // the same, of the worth for a second of an engine's time
 		large   float64 // estimates of the quantiles of size
 		largest float64
-		served  [sizes]float64 // share that is served
+		served  [groups]float64 // share that is served
 	}
 
-	// size is a group of a class's requests.
-	size int
+	// group is the requests of a class that are about equally large.
+	group int
 )
 
 // Groups by size. Every request counts among all too.
 const (
-	allSizes size = iota
+	allSizes group = iota
 	largeSize
 	largestSize
-	sizes
+	groups
 )
 
 // class returns what is known of the requests that are like this one.
@@ -53,7 +53,7 @@
 	c := t.classes[ask.Class]
 	if c == nil {
 		size := ask.size()
-		c = &class{size: size, large: size, largest: size, served: [sizes]float64{1, 1, 1}}
+		c = &class{size: size, large: size, largest: size, served: [groups]float64{1, 1, 1}}
 		t.classes[ask.Class] = c
 	}
 	return c
@@ -61,9 +61,10 @@
 
 func (a *Ask) size() float64 { return float64(a.Tokens + answerCount*a.Answer) }
 
-// weigh returns how much longer than the average request of its class this one
-// may wait, by what it is worth for the time that reading its prompt takes.
-func (c *class) weigh(ask Ask, work time.Duration) float64 {
+// stretch takes a request into the class's means, and returns how much longer
+// than their average it may wait, by what it is worth for the time that reading
+// its prompt takes.
+func (c *class) stretch(ask Ask, work time.Duration) float64 {
 	size := ask.size()
 	c.size += meanRate * (size - c.size)
 	c.large = quantile(c.large, size, largeFrom, sizeStep*c.size)
@@ -73,7 +74,7 @@
 		c.rate = rate
 	}
 	c.rate += meanRate * (rate - c.rate)
-	if group := c.group(ask); c.served[group] < fairShare*c.served[allSizes] {
+	if c.served[c.groupOf(ask)] < fairShare*c.served[allSizes] {
 		return stretchMost
 	}
 	return min(max(rate/c.rate, stretchLeast), stretchMost)
@@ -87,7 +88,7 @@
 	return estimate - (1-share)*step
 }
 
-func (c *class) group(ask Ask) size {
+func (c *class) groupOf(ask Ask) group {
 	switch size := ask.size(); {
 	case size > c.largest:
 		return largestSize
@@ -100,7 +101,7 @@
 // note counts how much of a request is served: 1, servedLate or 0.
 func (c *class) note(ask Ask, served float64) {
 	c.served[allSizes] += servedRate * (served - c.served[allSizes])
-	if group := c.group(ask); group != allSizes {
-		c.served[group] += servedRate * (served - c.served[group])
+	if g := c.groupOf(ask); g != allSizes {
+		c.served[g] += servedRate * (served - c.served[g])
 	}
 }
