Tell a replica that missed elections their term in a rejected pre-vote

Cause: a rejected pre-vote was answered with the term that it proposed, so a candidate never learnt a higher term. A replica that alone had all committed entries and had missed an election was rejected for its term for ever, the others for their logs: no leader without end. Ruled out: split votes (deadlines are drawn anew at each attempt). Change: a rejection carries the term of the replica that rejects, and a higher one is adopted.

--- a/quorum/step.go
+++ b/quorum/step.go
@@ -55,16 +55,30 @@
 	}
 }
 
+// handlePreVote replies with the term of the proposed election if it grants the
+// pre-vote, and otherwise with its own term.
 func (c *Core) handlePreVote(now time.Time, m Message) {
-	granted := m.Term > c.hardState.Term && !c.hasLiveLeader(now) && c.upToDate(m)
-	c.sendWithTerm(Message{Kind: PreVoteReply, To: m.From, Reject: !granted}, m.Term)
+	if m.Term > c.hardState.Term && !c.hasLiveLeader(now) && c.upToDate(m) {
+		c.sendWithTerm(Message{Kind: PreVoteReply, To: m.From}, m.Term)
+		return
+	}
+	c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
 }
 
 func (c *Core) handlePreVoteReply(now time.Time, m Message) {
+	if m.Reject {
+		// A replica that has missed elections adopts their term. Otherwise its
+		// pre-votes are rejected for ever, and if it alone has all committed
+		// entries, no replica can be elected.
+		if m.Term > c.hardState.Term {
+			c.becomeFollower(now, m.Term, "")
+		}
+		return
+	}
 	if c.role != preCandidate || m.Term != c.hardState.Term+1 {
 		return
 	}
-	c.votes[m.From] = !m.Reject
+	c.votes[m.From] = true
 	if c.isMajority(c.votes) {
 		c.campaign(now, candidate, false)
 	}
