Wait for named voters in TestSeeds

If seed-1 is lost before the fourth has become a voter, three are counted at once with seed-1 still among them, then four, and the loss of seed-2 leaves two of four voters: the group rightly has no leader.

--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -91,16 +92,16 @@
 		note("two of three seeds: %s", cl.putRoutes("seed-1", routeTable(3, "ledger")))
 		cl.startWith("fourth", bootstrapNew, wal.NewMemoryDisk())
 		cl.startWith("seed-3", bootstrapNew, wal.NewMemoryDisk())
-		note("all, and one that isn't a seed: %d voters", cl.awaitVoterCount(4))
+		note("all, and one that isn't a seed: %s", cl.awaitVoterNames("fourth", "seed-1", "seed-2", "seed-3"))
 
 		cl.kill("seed-1")
-		note("seed-1 gone for good: %d voters", cl.awaitVoterCount(3))
+		note("seed-1 gone for good: %s", cl.awaitVoterNames("fourth", "seed-2", "seed-3"))
 		cl.startWith("fifth", bootstrapJoin, wal.NewMemoryDisk())
-		note("another in its place: %d voters", cl.awaitVoterCount(4))
+		note("another in its place: %s", cl.awaitVoterNames("fifth", "fourth", "seed-2", "seed-3"))
 		cl.kill("seed-2")
-		note("seed-2 gone for good: %d voters", cl.awaitVoterCount(3))
+		note("seed-2 gone for good: %s", cl.awaitVoterNames("fifth", "fourth", "seed-3"))
 		cl.startWith("sixth", bootstrapJoin, wal.NewMemoryDisk())
-		note("another in its place: %d voters", cl.awaitVoterCount(4))
+		note("another in its place: %s", cl.awaitVoterNames("fifth", "fourth", "seed-3", "sixth"))
 
 		cl.kill("fourth")
 		note("with one more gone: %s", cl.putRoutes("sixth", routeTable(8, "ledger")))
@@ -196,6 +197,30 @@
 	return got
 }
 
+// awaitVoterNames waits up to 20 s until a committed membership change makes the
+// named instances the voters, and returns the names of those that are then. The
+// names are in alphabetical order.
+func (cl *cluster) awaitVoterNames(want ...string) string {
+	cl.t.Helper()
+	got := ""
+	for range 400 {
+		status := cl.controls[cl.confirmedLeader()].control.activeReplica().Leadership().Status
+		var names []string
+		for _, m := range status.Members {
+			if m.Voter {
+				names = append(names, m.Instance)
+			}
+		}
+		slices.Sort(names)
+		got = strings.Join(names, ", ")
+		if status.Commit == status.LastIndex && got == strings.Join(want, ", ") {
+			return got
+		}
+		interval.Sleep(cl.t.Context(), 50*time.Millisecond)
+	}
+	return got
+}
+
 // awaitVoterCount waits up to 20 s for the given number of voters, and returns
 // how many there are.
 func (cl *cluster) awaitVoterCount(want int) int {
