Keep the server of TestEarlyResponse from reading the body early

Change: it reads nothing until the caller has the response, and the body exceeds the buffers of both sockets.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -174,17 +174,21 @@
 }
 
 // TestEarlyResponse has a server respond before it has read a long body: the
-// caller must get the response, and the connection must not be reused.
+// caller must get the response, and the connection must not be reused. The
+// server reads nothing of the body until the caller has the response, and the
+// body is larger than the buffers of both sockets, so that the request can't be
+// written in full.
 func TestEarlyResponse(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	e := &earlyResponder{listener: listener, done: make(chan struct{})}
+	e := &earlyResponder{listener: listener, received: make(chan struct{}), done: make(chan struct{})}
 	go e.run()
 	p := newPool()
-	got := send(p, listener.Addr().String(), http.MethodPost, "one", make([]byte, 8<<20))
+	got := send(p, listener.Addr().String(), http.MethodPost, "one", make([]byte, 64<<20))
+	close(e.received)
 	if want := `413 "no"`; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
@@ -198,6 +202,7 @@
 // earlyResponder responds before it reads the body of the request.
 type earlyResponder struct {
 	listener net.Listener
+	received chan struct{} // closed when the caller has the response
 	done     chan struct{}
 }
 
@@ -214,6 +219,7 @@
 		return
 	}
 	_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+	<-e.received
 	_, _ = io.Copy(io.Discard, in) // until the client closes the connection
 }
 
