Apply a leave without a start time to the start that relays know

Cause: a control instance that doesn't know a server (it was restarted, or never was announced to) records its leave without a start time, which orders before every announcement, so that relays went on sending to a server that had left. Change: a relay applies such a leave to the start that it knows, unless that was announced after the leave.

--- a/roster/merged.go
+++ b/roster/merged.go
@@ -46,6 +46,12 @@
 		r.servers[s.ID] = &entry{server: s, lastSeen: lastSeen}
 		return true
 	}
+	if s.Departed && s.StartedAt == 0 && !old.lastSeen.After(lastSeen) {
+		// The control instance didn't know the server that left.
+		s = old.server
+		s.Departed = true
+		s.Draining = true
+	}
 	order := compareAnnouncements(&s, &old.server)
 	if order < 0 {
 		return false
