Say of a failed call whether it ran as it is

Cause: a reply that could not be decoded was reported as not run, though the server had replied, and a request over the size limit as possibly run, though nothing was sent. Change: the first is broken and has run, the second too large and has not.

--- a/wire/client.go
+++ b/wire/client.go
@@ -92,6 +92,9 @@
 	defer stop()
 	if err := WriteFrame(stream, requestFrame{Method: method, Body: body}); err != nil {
 		stream.Cancel()
+		if fault.KindOf(err) == fault.TooLarge {
+			return nil, err // nothing was sent
+		}
 		return nil, fault.New(fault.Broken, fault.MaybeRun, "sending request %s to %s: %v", method, address, err)
 	}
 	return &Call{stream: stream, conn: conn}, nil
@@ -250,7 +253,8 @@
 
 // Receive reads the next reply into out, which may be nil. It returns io.EOF
 // after the last reply, the error with which the server replied, if any, and
-// fault.Broken if a reply can't be read.
+// fault.Broken if a reply can't be read. A request that was replied to has run,
+// also if the reply can't be decoded.
 func (c *Call) Receive(out any) error {
 	var r replyFrame
 	err := ReadFrame(c.stream, &r)
@@ -266,7 +270,10 @@
 	if out == nil {
 		return nil
 	}
-	return Decode(r.Body, out)
+	if err := Decode(r.Body, out); err != nil {
+		return fault.New(fault.Broken, fault.HasRun, "reading a reply: %s", fault.FromError(err).Message)
+	}
+	return nil
 }
 
 // Peer returns the name in the server's certificate, or its address.
