Keep responses of other requests and endless headers from callers

Cause, by TestFaultyResponses on the code before: a late copy without an ID of an earlier response, on a connection that is in use again, was returned as the next response ("old"); of a skipped response over 64 KiB the rest of the body was parsed as responses ("bad" was returned); a header without end was read without a limit until the deadline, and the test didn't end. Change: a response without an ID counts only on a connection that carried no earlier request; a response to another request that is over 64 KiB ends the connection; a header has at most 64 KiB. Bounds of the standard library hold for chunk extensions and trailers, as the test shows. An oversized response to a prefill is a failure of the server, not status 413. Result: eight new cases, none of whose foreign bytes reach a caller.

--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -7,6 +7,7 @@
 	"endivedeck.example/kernel"
 	"endivedeck.example/placement"
 	"endivedeck.example/roster"
+	"endivedeck.example/upstream"
 )
 
 // Dialects holds the registered dialects by name.
@@ -22,9 +23,9 @@
 		// RequestHeader returns the header of the request to a backend server.
 		RequestHeader(info *RequestInfo, opts SendOptions) http.Header
 
-		// Matches reports whether a response with the given header belongs to the
+		// Match reports whether a response with the given header belongs to the
 		// request.
-		Matches(info *RequestInfo, header http.Header) bool
+		Match(info *RequestInfo, header http.Header) upstream.Match
 
 		// Classify classifies a backend server's response.
 		Classify(status int, header http.Header) ResponseClass
--- a/relay/job.go
+++ b/relay/job.go
@@ -241,7 +241,11 @@
 	if j.relay.dialect.Classify(resp.Status, resp.Header) != Succeeded {
 		return nil, fault.New(fault.Overloaded, fault.NotRun, "backend server %s did not run the prefill: status %d", ticket.Server.ID, resp.Status)
 	}
-	return readAll(resp, maxHandleBytes)
+	body, err := readAll(resp, maxHandleBytes)
+	if err != nil {
+		return nil, fault.New(fault.Broken, fault.NotRun, "reading the response of backend server %s to a prefill failed: %v", ticket.Server.ID, err)
+	}
+	return body, nil
 }
 
 // execute sends the request to the ticket's server and forwards the response to
@@ -306,7 +310,7 @@
 		Header:   j.relay.dialect.RequestHeader(&j.info, opts),
 		Body:     j.body,
 		MaxConns: limit,
-		Matches:  func(header http.Header) bool { return j.relay.dialect.Matches(&j.info, header) },
+		Match:    func(header http.Header) upstream.Match { return j.relay.dialect.Match(&j.info, header) },
 	})
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -15,10 +15,21 @@
 const (
 	maxSyncBodyBytes  = 16 << 10 // a larger body is written while the response is read
 	maxStrayResponses = 2        // informational responses and responses to other requests that are skipped
-	maxStrayBodyBytes = 64 << 10 // read of the body of a skipped response
+	maxStrayBodyBytes = 64 << 10 // of the body of a response to another request
+	maxHeaderBytes    = 64 << 10 // of a response header
+)
+
+// Whether a response belongs to the request that it was read for.
+const (
+	Own     Match = iota // it does
+	Other                // it belongs to another request
+	Unknown              // its header doesn't say; it does if it is the first one on its connection
 )
 
 type (
+	// Match tells whether a response belongs to a request.
+	Match int
+
 	// Request is one request to a backend server.
 	Request struct {
 		Method   string
@@ -28,9 +39,9 @@
 		Body     []byte
 		MaxConns int // connections to the server that may be open; 0 means no limit
 
-		// Matches reports whether a response with this header belongs to the
-		// request. If it is nil, every response does.
-		Matches func(header http.Header) bool
+		// Match reports whether a response with this header belongs to the request.
+		// If it is nil, that is unknown for every response.
+		Match func(header http.Header) Match
 	}
 
 	// Response holds the status and header of a response and reads its body. The
@@ -137,14 +148,21 @@
 // maxStrayResponses altogether.
 func (c *conn) readResponse(w *requestWrite, r Request) (*Response, error) {
 	for range maxStrayResponses + 1 {
-		response, err := http.ReadResponse(c.reader, w.request)
+		response, err := c.readHeader(w.request)
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		match := Unknown
+		if r.Match != nil {
+			match = r.Match(response.Header)
+		}
+		switch {
+		case match == Unknown && c.reused:
+			return nil, errors.New("received a response that may belong to an earlier request on the connection")
+		case match != Other:
 			return &Response{
 				Status:        response.StatusCode,
 				Header:        response.Header,
@@ -153,17 +171,25 @@
 				response:      response,
 				write:         w,
 			}, nil
-		}
-		if response.Close || response.ContentLength < 0 {
+		case response.Close, response.ContentLength < 0, response.ContentLength > maxStrayBodyBytes:
 			return nil, errors.New("received a response to another request that cannot be skipped")
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, maxStrayBodyBytes)); err != nil {
+		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errors.New("all responses read were informational or to other requests")
 }
 
+// readHeader reads one response header of at most about maxHeaderBytes.
+func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
+	c.head.left = maxHeaderBytes
+	c.head.limited = true
+	response, err := http.ReadResponse(c.reader, request)
+	c.head.limited = false
+	return response, err
+}
+
 // Read implements io.Reader for the response body. It returns io.EOF only at the
 // end of the body that the framing (Content-Length or chunked encoding) gives.
 // A body without framing ends where the server closes the connection.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -108,7 +108,7 @@
 func send(p *Pool, address, method, id string, body []byte) string {
 	resp, err := p.Send(context.Background(), address, Request{
 		Method: method, Host: "crews.example", Path: "/a/b?c=d", Header: http.Header{idHeader: {id}}, Body: body,
-		Matches: func(h http.Header) bool { return h.Get(idHeader) == "" || h.Get(idHeader) == id },
+		Match: func(h http.Header) Match { return matchID(h.Get(idHeader), id) },
 	})
 	if err != nil {
 		return fmt.Sprintf("%s, ran %s", fault.KindOf(err), fault.FromError(err).Ran)
@@ -121,6 +121,16 @@
 	return fmt.Sprintf("%d %q", resp.Status, text)
 }
 
+func matchID(got, want string) Match {
+	switch got {
+	case want:
+		return Own
+	case "":
+		return Unknown
+	}
+	return Other
+}
+
 // TestFaultyResponses sends two requests to servers that respond in valid and in
 // faulty ways. The second request shows whether the connection was reused and
 // whether a left-over response was mistaken for its own.
@@ -141,6 +151,14 @@
 		{"extra response after the right one", []string{good + "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad", good}, false, false},
 		{"response to another request before the right one", []string{"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad" + good, good}, false, false},
 		{"only a response to another request", []string{"HTTP/1.1 200 OK\r\nX-Id: other\r\nConnection: close\r\nContent-Length: 3\r\n\r\nbad", good}, true, false},
+		{"copy of the first response without an ID before the second one", []string{good, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold" + good}, false, false},
+		{"long response to another request, whose body looks like a response", []string{"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", maxStrayBodyBytes) + "HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 3\r\n\r\nbad" + strings.Repeat("x", 5000), good}, false, false},
+		{"header line without end", []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Long: " + strings.Repeat("x", 1<<20), good}, false, false},
+		{"header lines without end", []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\n" + strings.Repeat("X-More: x\r\n", 1<<17), good}, false, false},
+		{"status line without end", []string{"HTTP/1.1 200 " + strings.Repeat("O", 1<<20), good}, false, false},
+		{"informational responses without end", []string{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000) + good, good}, false, false},
+		{"trailer without end", []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n" + strings.Repeat("X-More: x\r\n", 1<<17), good}, false, false},
+		{"chunk extension without end", []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n4;" + strings.Repeat("x", 1<<20), good}, false, false},
 		{"not an HTTP response", []string{"what is this\r\n\r\n", good}, true, false},
 		{"connection closed without a response", nil, false, false},
 		{"reused connection closed without a response", []string{good, good}, false, true},
