Learn prefill and handoff times per service and stage

The nominal rate fits engines that read 400 tokens in a ms, a single factor can't fit a fixed part of 31 ms, and a handoff counted 3 ms where it takes 20 to 50; the rest was taken for a queue of the decoding engine. Change: package pace estimates a fixed and a proportional part, from the first samples on. The handoff has a model of its own, whose nominal time follows from the size of the KV cache and the link. A prefill on an engine that decodes costs 0.07 of its time for each request that runs there, in place of 3 ms for each chat, and decoders are compared by the load of all relays. A choice tells how long the request can wait.

--- a/placement/chat.go
+++ b/placement/chat.go
@@ -15,7 +15,6 @@
 	MaxChatTokens = 1024
 
 	chatPackFraction  = 0.6                   // fraction of an engine's slots to fill with chats before using the next engine
-	chatInterference  = 3 * time.Millisecond  // cost of the delay that a long prompt's prefill causes to each chat on the same engine
 	maxChatQueue      = 60 * time.Millisecond // engines with a longer queue are used for chats last
 	chatRendezvousKey = 0                     // key of the engine order that all relays use for chats
 )
@@ -50,12 +49,13 @@
 	if best == nil {
 		return Choice{}, errNoDecoder(req)
 	}
-	prefill := t.prefillTime(best, float64(req.PromptTokens), req.PromptTokens)
+	nominal := nominalPrefillTime(best.Stage, float64(req.PromptTokens), req.PromptTokens)
+	prefill := t.prefillPace(best).Estimate(nominal)
 	if !req.MustPlace && !req.meetsObjective(bestQueue, bestQueue+prefill, 1) && !req.usefulWhenLate(bestQueue+prefill) {
 		return Choice{}, errTooLate(req, bestQueue)
 	}
 	return Choice{
-		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, queueTime: bestQueue}),
+		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, nominalPrefill: nominal, queueTime: bestQueue}),
 		QueueTime: bestQueue,
 		FirstByte: bestQueue + prefill,
 	}, nil
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -19,6 +19,7 @@
 	totalLoad struct {
 		pending time.Duration // as Load.Pending
 		late    time.Duration // as Load.Late
+		active  int
 		chats   int
 	}
 )
@@ -80,7 +81,7 @@
 // loadOf returns the load on a server: that of this relay and that which other
 // relays have reported within peerLoadTTL.
 func (t *Table) loadOf(now time.Time, s *server) totalLoad {
-	sum := totalLoad{pending: s.pending, late: s.latePending, chats: s.chats}
+	sum := totalLoad{pending: s.pending, late: s.latePending, active: s.active, chats: s.chats}
 	for _, loads := range t.peerLoads {
 		l, known := loads[s.ID]
 		if !known || now.Sub(l.receivedAt) > peerLoadTTL {
@@ -88,6 +89,7 @@
 		}
 		sum.pending += l.load.Pending
 		sum.late += l.load.Late
+		sum.active += l.load.Active
 		sum.chats += l.load.Chats
 	}
 	return sum
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -50,6 +50,7 @@
 		Late         bool          // the request yields to those that can still meet their objectives
 		QueueTime    time.Duration // expected time until processing begins
 		FirstByte    time.Duration // expected time to the first byte of the response
+		Slack        time.Duration // time that the request can wait in queues without missing its latency objective
 	}
 
 	// Outcome tells how a request ended at the server of a ticket.
@@ -83,11 +84,15 @@
 
 	// prefillJob is the expected work and cache use of a request at a server.
 	prefillJob struct {
-		prefillTime time.Duration // expected
-		queueTime   time.Duration // expected, before the prefill
-		late        bool          // yields to requests that can still meet their objectives
-		prefixes    []uint64      // hashes of the prefixes that are cached once the response begins
-		newTokens   int           // tokens that are inserted into the cache by then; 0 if they are already recorded
+		prefillTime    time.Duration // expected
+		nominalPrefill time.Duration // at the nominal rates; 0 if the KV cache is fetched from another engine
+		queueTime      time.Duration // expected, before the prefill
+		handoff        bool          // the server fetches the KV cache from the one that ran the prefill
+		transferTime   time.Duration // of the KV cache in a handoff, nominal
+		handoffTime    time.Duration // expected time until the response begins in a handoff
+		late           bool          // yields to requests that can still meet their objectives
+		prefixes       []uint64      // hashes of the prefixes that are cached once the response begins
+		newTokens      int           // tokens that are inserted into the cache by then; 0 if they are already recorded
 	}
 )
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -360,12 +360,14 @@
 	golden.Check(t, "waitfactor.golden", got.String())
 }
 
-// TestCalibration has engines that prefill three times as slowly as their data
-// sheets say, and checks that the calibration factor approaches 3.
-func TestCalibration(t *testing.T) {
+// TestPrefillPace has engines that prefill three times as slowly as nominal, and
+// checks that the expected time of a prompt of which nothing is cached approaches
+// the actual one.
+func TestPrefillPace(t *testing.T) {
 	table := newEngineTable()
 	now := start
-	want := 3.0
+	const slowdown = 3
+	var got, want time.Duration
 	for i := range 200 {
 		c, err := table.Choose(now, longPrompt(uint64(10+i)))
 		if err != nil {
@@ -375,12 +377,12 @@
 		if ticket == nil {
 			ticket = c.Runner
 		}
-		base := float64(ticket.prefillTime) / table.calibration(table.servers[ticket.Server.ID])
-		ticket.ResponseBegun(now, time.Duration(want*base))
+		got, want = ticket.prefillTime, slowdown*(prefillOverhead+ticket.nominalPrefill)
+		ticket.ResponseBegun(now, want)
 		c.Cancel(now)
 		now = now.Add(time.Second)
 	}
-	if got := table.calibration(table.servers["p1"]); got < 0.9*want || got > 1.1*want {
-		t.Errorf("got a calibration factor of %.2f, want about %.2f", got, want)
+	if got < 9*want/10 || got > 11*want/10 {
+		t.Errorf("expected prefill time: got %v, want about %v", got, want)
 	}
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -11,15 +11,14 @@
 )
 
 const (
-	// Prefill times according to the engines' data sheets. Longer actual times are
-	// accounted for by the measured queue wait and the calibration.
+	// Nominal prefill times. The actual ones are learned, see package pace.
 	prefillRate          = 400.0                  // tokens per millisecond
 	decodeEngineFraction = 0.38                   // of prefillRate on a decode engine: half, in small chunks between decode steps
 	attentionTime        = 65 * time.Nanosecond   // per 1000 pairs of a new token and a token of the prompt
 	prefillOverhead      = 3 * time.Millisecond   // per prompt
 	decodeStepTime       = 700 * time.Microsecond // to generate one token
 
-	handoffTime       = 3 * time.Millisecond   // added if another engine decodes: KV cache transfer and second request
+	handoffTime       = 3 * time.Millisecond   // nominal time until another engine decodes, without the KV cache transfer
 	transferSetupTime = 500 * time.Microsecond // before a KV cache transfer begins
 	crossDomainTime   = time.Millisecond       // additional latency between failure domains
 
@@ -30,6 +29,11 @@
 	ownPrefillWeight = 0.25 // fraction of the request's own prefill time that counts as waiting
 	maxLateFraction  = 0.4  // fraction of the caller's remaining time in which a late response must begin; the rest is for later arrivals and for decoding
 
+	// interferenceWeight is the cost of a prefill for each request that is running
+	// on the same engine, as a fraction of the prefill time: the prefill delays
+	// their tokens.
+	interferenceWeight = 0.07
+
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -53,16 +57,19 @@
 
 	// plan is the expected course of a request if server prefills its prompt.
 	plan struct {
-		server       *server
-		decoder      *server       // nil if server decodes too
-		prefixSource *server       // its cache has a longer prefix than that of server; nil if none does
-		late         bool          // yields to requests that can still meet their objectives
-		chats        int           // that server decodes
-		queueTime    time.Duration // at server and decoder together
-		prefillTime  time.Duration // for the tokens that have to be prefilled
-		newTokens    int           // inserted into the cache of server
-		firstByte    time.Duration // until the response begins
-		cost         time.Duration // firstByte and the cost to other requests
+		server         *server
+		decoder        *server       // nil if server decodes too
+		prefixSource   *server       // its cache has a longer prefix than that of server; nil if none does
+		transferTime   time.Duration // nominal time to transfer the KV cache to decoder
+		handoffTime    time.Duration // expected time from the end of the prefill until decoder has generated a token
+		late           bool          // yields to requests that can still meet their objectives
+		chats          int           // that server decodes
+		queueTime      time.Duration // at server and decoder together
+		prefillTime    time.Duration // for the tokens that have to be prefilled
+		nominalPrefill time.Duration // the same at the nominal rates
+		newTokens      int           // inserted into the cache of server
+		firstByte      time.Duration // until the response begins
+		cost           time.Duration // firstByte and the cost to other requests
 	}
 )
 
@@ -112,7 +119,7 @@
 	if ps.prefixSource != nil {
 		cached = ps.req.prefixTokens(ps.prefixSource.cachedDepth(ps.prefixes))
 	}
-	return basePrefillTime(prefillRate, float64(ps.req.PromptTokens-cached), ps.req.PromptTokens)
+	return prefillOverhead + nominalPrefillTime(roster.Prefill, float64(ps.req.PromptTokens-cached), ps.req.PromptTokens)
 }
 
 // usefulWhenLate reports whether a response that begins after firstByte can be
@@ -149,7 +156,7 @@
 func (ps *promptSearch) bestPlan(late bool) (plan, error) {
 	var split, single plan // with separate engines, and with one for both
 	var decoder *server
-	var decoderQueue, decoderCost time.Duration
+	var decoderCost time.Duration
 	for _, s := range ps.candidates {
 		p := ps.estimate(s, late)
 		if s.Stage == roster.Prefill {
@@ -161,18 +168,19 @@
 		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) {
 			single = p
 		}
-		if queue, cost := ps.decodeCost(s); decoder == nil || cost < decoderCost {
-			decoder, decoderQueue, decoderCost = s, queue, cost
+		if cost := ps.decodeCost(s); decoder == nil || cost < decoderCost {
+			decoder, decoderCost = s, cost
 		}
 	}
 	if decoder == nil {
 		return plan{}, errNoDecoder(ps.req)
 	}
-	if split.server != nil && (single.server == nil || split.cost+handoffTime+decoderCost < single.cost) {
+	if split.server != nil {
 		split.decoder = decoder
-		split.queueTime += decoderQueue
-		split.firstByte += decoderQueue + handoffTime
-		return split, nil
+		ps.addHandoff(&split)
+		if single.server == nil || split.cost+decoderCost < single.cost {
+			return split, nil
+		}
 	}
 	if single.server == nil {
 		return plan{}, fault.New(fault.Overloaded, fault.NotRun, "all decoding engines of service %q are busy with chats, and the response would be late", ps.req.Service)
@@ -185,9 +193,6 @@
 func (ps *promptSearch) estimate(s *server, late bool) plan {
 	load := ps.table.loadOf(ps.now, s)
 	p := plan{server: s, late: late, chats: load.chats, queueTime: s.queueTime(ps.now, load, late)}
-	if s.Stage != roster.Prefill {
-		p.queueTime += time.Duration(load.chats) * chatInterference
-	}
 	depth := s.cachedDepth(ps.prefixes)
 	cached := ps.req.prefixTokens(depth)
 	transferred := 0
@@ -200,38 +205,64 @@
 		}
 	}
 	prefilled := float64(ps.req.PromptTokens-cached-transferred) + localMissRate*float64(cached) + remoteMissRate*float64(transferred)
-	p.prefillTime = ps.table.prefillTime(s, prefilled, ps.req.PromptTokens)
+	p.nominalPrefill = nominalPrefillTime(s.Stage, prefilled, ps.req.PromptTokens)
+	p.prefillTime = ps.table.prefillPace(s).Estimate(p.nominalPrefill)
 	p.newTokens = ps.req.PromptTokens - cached
 	p.firstByte = p.queueTime + transfer + p.prefillTime + s.crossDomainCost(ps.req)
 	p.cost = p.firstByte + evictionCost(p.newTokens)
+	if s.Stage != roster.Prefill {
+		p.cost += time.Duration(interferenceWeight * float64(load.active) * float64(p.prefillTime))
+	}
 	return p
 }
 
-// decodeCost returns the expected queue time and cost of a server that receives
-// the prompt's KV cache and decodes. The request goes before prompts that are
+// addHandoff adds the time to hand the request over to the decoder of p.
+func (ps *promptSearch) addHandoff(p *plan) {
+	tokens := ps.uncachedTokens(p.decoder)
+	p.transferTime = transferTime(ps.table.engines[p.server.Service], tokens, p.decoder.Domain != p.server.Domain)
+	p.handoffTime = ps.table.handoffPace(p.decoder).Estimate(p.transferTime)
+	p.firstByte += p.handoffTime
+	p.cost += p.handoffTime
+}
+
+// uncachedTokens returns the number of the prompt's tokens that a server is
+// expected not to have cached.
+func (ps *promptSearch) uncachedTokens(s *server) int {
+	return ps.req.PromptTokens - ps.req.prefixTokens(s.cachedDepth(ps.prefixes))
+}
+
+// decodeCost returns the cost of a server that receives the prompt's KV cache and
+// decodes, apart from the handoff itself. The request goes before prompts that are
 // queued there, but waits for the one being prefilled.
-func (ps *promptSearch) decodeCost(s *server) (queueTime, cost time.Duration) {
-	newTokens := ps.req.PromptTokens - ps.req.prefixTokens(s.cachedDepth(ps.prefixes))
-	queueTime = min(s.queueTime(ps.now, ps.table.loadOf(ps.now, s), false), maxDecodeQueue)
-	return queueTime, queueTime + decodeStepTime*time.Duration(1+s.active/4) + evictionCost(newTokens) + s.crossDomainCost(ps.req)
+func (ps *promptSearch) decodeCost(s *server) time.Duration {
+	load := ps.table.loadOf(ps.now, s)
+	queueTime := min(s.queueTime(ps.now, load, false), maxDecodeQueue)
+	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
 }
 
 // commit assigns the request to the servers of a plan.
 func (ps *promptSearch) commit(p plan) Choice {
 	t := ps.table
 	c := Choice{Late: p.late, QueueTime: p.queueTime, FirstByte: p.firstByte}
+	c.Slack = ps.req.ObjectiveLeft - (p.firstByte - p.queueTime)
 	if p.prefixSource != nil {
 		c.PrefixSource = p.prefixSource.Address
 	}
 	t.recordInsert(p.server, ps.prefixes, p.newTokens)
-	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, queueTime: p.queueTime, late: p.late})
+	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
 		return c
 	}
 	c.Prefiller = ticket
-	newTokens := ps.req.PromptTokens - ps.req.prefixTokens(p.decoder.cachedDepth(ps.prefixes))
-	c.Runner = t.assign(ps.now, p.decoder, ps.req, prefillJob{prefillTime: decodeStepTime, prefixes: ps.prefixes, newTokens: newTokens})
+	c.Runner = t.assign(ps.now, p.decoder, ps.req, prefillJob{
+		prefillTime:  decodeStepTime,
+		handoff:      true,
+		transferTime: p.transferTime,
+		handoffTime:  p.handoffTime,
+		prefixes:     ps.prefixes,
+		newTokens:    ps.uncachedTokens(p.decoder),
+	})
 	return c
 }
 
@@ -295,19 +326,12 @@
 	return time.Duration(evictionCostFraction * float64(tokens) / prefillRate * float64(time.Millisecond))
 }
 
-// prefillTime returns the time that a server takes to prefill some tokens of a
-// prompt of promptTokens tokens.
-func (t *Table) prefillTime(s *server, tokens float64, promptTokens int) time.Duration {
+// nominalPrefillTime returns the time to prefill some tokens of a prompt of
+// promptTokens tokens at the nominal rates.
+func nominalPrefillTime(stage roster.Stage, tokens float64, promptTokens int) time.Duration {
 	rate := prefillRate
-	if s.Stage == roster.Decode {
+	if stage == roster.Decode {
 		rate *= decodeEngineFraction
 	}
-	return time.Duration(t.calibration(s) * float64(basePrefillTime(rate, tokens, promptTokens)))
-}
-
-// basePrefillTime returns the prefill time according to the data sheets, at the
-// given rate in tokens per millisecond.
-func basePrefillTime(rate, tokens float64, promptTokens int) time.Duration {
-	total := float64(prefillOverhead) + tokens/rate*float64(time.Millisecond) + tokens*float64(promptTokens)/1000*float64(attentionTime)
-	return time.Duration(total)
+	return time.Duration(tokens/rate*float64(time.Millisecond) + tokens*float64(promptTokens)/1000*float64(attentionTime))
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/engines/pace"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -20,7 +21,8 @@
 		peerLoads    map[string]map[string]peerLoad // by relay, then by server ID
 		engines      map[string]routes.Engine       // by service
 		classes      map[string]*class              // by name
-		calibrations map[engineKind]float64         // measured prefill time divided by basePrefillTime, moving average
+		prefillPaces map[engineKind]*pace.Model
+		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -55,7 +57,8 @@
 		peerLoads:    map[string]map[string]peerLoad{},
 		engines:      map[string]routes.Engine{},
 		classes:      map[string]*class{},
-		calibrations: map[engineKind]float64{},
+		prefillPaces: map[engineKind]*pace.Model{},
+		handoffPaces: map[engineKind]*pace.Model{},
 	}
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -69,7 +69,7 @@
 }
 
 // finishPrefill removes the prefill from the server's pending time, and updates
-// the queue wait and the calibration from the time to the first byte. first is 0
+// the queue wait and the learned prefill time from the time to the first byte. first is 0
 // if no response has begun.
 func (tk *Ticket) finishPrefill(now time.Time, s *server, firstByte time.Duration) {
 	prefill := tk.prefillTime
@@ -82,9 +82,13 @@
 	if firstByte <= 0 || tk.late {
 		return
 	}
+	if tk.handoff {
+		tk.table.handoffPace(s).Observe(tk.transferTime, firstByte)
+		return
+	}
 	s.updateQueueWait(now, max(firstByte-prefill-tk.queueTime, 0))
-	if tk.queueTime < maxIdleQueue && !tk.chat && prefill > prefillOverhead {
-		tk.table.calibrate(s, float64(firstByte)/float64(prefill))
+	if tk.queueTime < maxIdleQueue && tk.nominalPrefill > 0 {
+		tk.table.prefillPace(s).Observe(tk.nominalPrefill, firstByte)
 	}
 }
 
