Order prompts at an engine by how long they can wait

Change: a prompt that can wait for less than 0.4 of its objective has priority 4 at the engine, one that can wait for more than 0.7 has 6.

--- a/relay/job.go
+++ b/relay/job.go
@@ -19,10 +19,17 @@
 	maxHandleBytes    = 64 << 10             // size of the response to a prefill or a KV cache release
 	priorityChat      = 1                    // priorities at an engine, where 0 is the highest: chats
 	priorityPrefilled = 3                    // prompts whose prefill ran on another server
+	priorityTight     = 4                    // prompts that miss the latency objective after a short wait
 	priorityDefault   = 5                    // other prompts; the same as sending no priority
+	priorityLoose     = 6                    // prompts that can wait for most of the latency objective
 	priorityLate      = 8                    // prompts that will miss the latency objective
 	unresponsiveAfter = time.Second          // on a timeout, a server that has sent no response for this long goes into backoff
 
+	// Parts of the latency objective that a prompt can wait, below which it goes
+	// before others and above which it goes behind them.
+	tightSlack = 0.4
+	looseSlack = 0.7
+
 	// startDelayFactor limits the time until a retryable stream begins:
 	// streamStallTimeout plus this multiple of the expected time. Late prompts
 	// can exceed the estimate, since other prompts overtake them.
@@ -197,6 +204,10 @@
 		return priorityPrefilled
 	case j.choice.Late:
 		return priorityLate
+	case j.choice.Slack < time.Duration(tightSlack*float64(j.route.LatencyObjective)):
+		return priorityTight
+	case j.choice.Slack > time.Duration(looseSlack*float64(j.route.LatencyObjective)):
+		return priorityLoose
 	}
 	return priorityDefault
 }
