List what engines have cached once after a relay has started

Change: each relay lists the caches of its share of the engines (rendezvous hashing over the relays), once and 0.2 s after it knows them, and passes the lists on; a relay that opens a connection to another first sends what its share of the engines have cached, for one that has just started.

--- a/message/message.go
+++ b/message/message.go
@@ -167,7 +167,8 @@
 		Relay   string           `cbor:"1,keyasint"` // address of the relay
 		Servers []placement.Load `cbor:"2,keyasint"` // without backend servers on which it has no requests
 
-		CacheInserts []placement.CacheInsert `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
+		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
+		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 	}
 
 	// RelayUpdate is an update for a relay. Servers is always the complete list.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"endivedeck.example/roster"
 )
 
 // peerLoadTTL is how long the load reported by another relay is used.
@@ -49,6 +51,58 @@
 	return slices.Clone(t.inserts[since-t.droppedInserts:]), next
 }
 
+// CacheSnapshot returns what the caches of the selected servers are expected to
+// contain, for a relay that has just started.
+func (t *Table) CacheSnapshot(selected func(serverID string) bool) (inserts []CacheInsert, listings []CacheListing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.servers {
+		if !selected(id) {
+			continue
+		}
+		var prefixes, parts []uint64
+		for prefix := range s.cache.lastUse {
+			if s.cache.contains(prefix) {
+				prefixes = append(prefixes, prefix)
+			}
+		}
+		for part := range s.cache.listed {
+			if s.cache.containsPart(part) {
+				parts = append(parts, part)
+			}
+		}
+		if len(prefixes) > 0 {
+			inserts = append(inserts, CacheInsert{Server: id, Prefixes: prefixes})
+		}
+		if len(parts) > 0 {
+			listings = append(listings, CacheListing{Server: id, Parts: parts})
+		}
+	}
+	return inserts, listings
+}
+
+// RecordListing records which parts a server has listed as cached.
+func (t *Table) RecordListing(l CacheListing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[l.Server]; s != nil {
+		s.cache.list(l.Parts)
+	}
+}
+
+// CachingServers returns the servers of all services that have a KV cache.
+func (t *Table) CachingServers() []roster.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []roster.Server
+	for _, s := range t.servers {
+		if t.engines[s.Service].CacheTokens > 0 {
+			list = append(list, s.Server)
+		}
+	}
+	return list
+}
+
 // UpdatePeer records a report of another relay: its current load on each server,
 // and the cache insertions that it has caused since its last report.
 func (t *Table) UpdatePeer(now time.Time, relay string, list []Load, inserts []CacheInsert) {
--- a/placement/prefixcache.go
+++ b/placement/prefixcache.go
@@ -20,6 +20,12 @@
 		Tokens   int      `cbor:"3,keyasint"` // that weren't cached before
 	}
 
+	// CacheListing reports the parts of prompts that a server has in its KV cache.
+	CacheListing struct {
+		Server string   `cbor:"1,keyasint"` // ID
+		Parts  []uint64 `cbor:"2,keyasint"` // IDs, as in Part
+	}
+
 	// prefixCache estimates which prompt prefixes a server has in its KV cache.
 	// It models eviction of the least recently used entries: a prefix stays
 	// cached until capacity tokens have been inserted since its last use.
@@ -27,11 +33,12 @@
 		capacity int64            // tokens
 		inserted int64            // tokens inserted so far
 		lastUse  map[uint64]int64 // value of inserted at the last use of each prefix
+		listed   map[uint64]int64 // value of inserted when the server listed the part, by part ID
 	}
 )
 
 func newPrefixCache(engine routes.Engine) *prefixCache {
-	c := &prefixCache{lastUse: map[uint64]int64{}}
+	c := &prefixCache{lastUse: map[uint64]int64{}, listed: map[uint64]int64{}}
 	c.setCapacity(engine)
 	return c
 }
@@ -50,6 +57,20 @@
 	return known && c.inserted-at < c.capacity
 }
 
+// containsPart reports whether a part that the server listed is expected to be
+// cached still.
+func (c *prefixCache) containsPart(part uint64) bool {
+	at, known := c.listed[part]
+	return known && c.inserted-at < c.capacity
+}
+
+// list records the parts that the server has listed.
+func (c *prefixCache) list(parts []uint64) {
+	for _, part := range parts {
+		c.listed[part] = c.inserted
+	}
+}
+
 // insert records the use of a prompt with the given prefixes. tokens is the
 // number of its tokens that weren't cached before.
 func (c *prefixCache) insert(prefixes []uint64, tokens int) {
@@ -66,6 +87,11 @@
 			delete(c.lastUse, p)
 		}
 	}
+	for p := range c.listed {
+		if !c.containsPart(p) {
+			delete(c.listed, p)
+		}
+	}
 }
 
 // transferTime returns the time to transfer the KV cache of some tokens between
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -117,7 +117,7 @@
 func (ps *promptSearch) uncachedPrefillTime() time.Duration {
 	cached := 0
 	if ps.prefixSource != nil {
-		cached = ps.req.prefixTokens(ps.prefixSource.cachedDepth(ps.prefixes))
+		cached = ps.req.prefixTokens(ps.prefixSource.cachedDepth(ps.req.Prompt, ps.prefixes))
 	}
 	return prefillOverhead + nominalPrefillTime(roster.Prefill, float64(ps.req.PromptTokens-cached), ps.req.PromptTokens)
 }
@@ -143,7 +143,7 @@
 	var best *server
 	bestDepth := 0
 	for _, s := range ps.candidates {
-		depth := s.cachedDepth(ps.prefixes)
+		depth := s.cachedDepth(ps.req.Prompt, ps.prefixes)
 		if depth > bestDepth || depth > 0 && depth == bestDepth && s.Domain == ps.req.Domain {
 			best, bestDepth = s, depth
 		}
@@ -193,12 +193,12 @@
 func (ps *promptSearch) estimate(s *server, late bool) plan {
 	load := ps.table.loadOf(ps.now, s)
 	p := plan{server: s, late: late, chats: load.chats, queueTime: s.queueTime(ps.now, load, late)}
-	depth := s.cachedDepth(ps.prefixes)
+	depth := s.cachedDepth(ps.req.Prompt, ps.prefixes)
 	cached := ps.req.prefixTokens(depth)
 	transferred := 0
 	var transfer time.Duration
 	if ps.prefixSource != nil && ps.prefixSource != s {
-		if sourceDepth := ps.prefixSource.cachedDepth(ps.prefixes); sourceDepth > depth {
+		if sourceDepth := ps.prefixSource.cachedDepth(ps.req.Prompt, ps.prefixes); sourceDepth > depth {
 			p.prefixSource = ps.prefixSource
 			transferred = ps.req.prefixTokens(sourceDepth) - cached
 			transfer = transferSetupTime + transferTime(ps.table.engines[s.Service], transferred, ps.prefixSource.Domain != s.Domain)
@@ -228,7 +228,7 @@
 // uncachedTokens returns the number of the prompt's tokens that a server is
 // expected not to have cached.
 func (ps *promptSearch) uncachedTokens(s *server) int {
-	return ps.req.PromptTokens - ps.req.prefixTokens(s.cachedDepth(ps.prefixes))
+	return ps.req.PromptTokens - ps.req.prefixTokens(s.cachedDepth(ps.req.Prompt, ps.prefixes))
 }
 
 // decodeCost returns the cost of a server that receives the prompt's KV cache and
@@ -292,11 +292,11 @@
 	return min(tokens, r.PromptTokens)
 }
 
-// cachedDepth returns how many of a prompt's prefixes the server is expected to
-// have cached.
-func (s *server) cachedDepth(prefixes []uint64) int {
+// cachedDepth returns how many of a prompt's prefixes, with the hashes given, the
+// server is expected to have cached.
+func (s *server) cachedDepth(prompt []Part, prefixes []uint64) int {
 	for i, prefix := range prefixes {
-		if !s.cache.contains(prefix) {
+		if !s.cache.contains(prefix) && !s.cache.containsPart(prompt[i].ID) {
 			return i
 		}
 	}
--- a/relay/control.go
+++ b/relay/control.go
@@ -91,6 +91,9 @@
 		r.placement.SetServers(servers)
 		r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
 	}
+	if len(r.placement.CachingServers()) > 0 {
+		r.cacheSurvey.begin()
+	}
 	if n := len(update.RelayAddresses); n > 0 {
 		r.relayCount.Store(int64(n))
 		r.setPeers(update.RelayAddresses)
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -42,6 +42,14 @@
 		// be used.
 		KVReleaseRequest(handle string) (method, path string)
 
+		// CacheListRequest returns the request that lists what is in the KV cache of
+		// a backend server.
+		CacheListRequest() (method, path string)
+
+		// ParseCacheList returns the IDs of the parts in the response to a cache list
+		// request, as in placement.Part.
+		ParseCacheList(body []byte) ([]uint64, error)
+
 		// LastEventID returns the ID of the last of the complete events, or last if
 		// none of them has an ID.
 		LastEventID(events []byte, last string) string
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"endivedeck.example/internal/fleet/shard"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/wire"
@@ -77,12 +78,20 @@
 	defer call.Cancel()
 	stopCancel := context.AfterFunc(ctx, call.Cancel)
 	defer stopCancel()
+	// The peer may have just started, so it is first sent what this relay's share
+	// of the backend servers have cached.
+	inserts, listings := p.relay.placement.CacheSnapshot(p.relay.share())
 	lastEmpty := true
 	var next uint64 // sequence number of the next cache insertion to report
+	_, nextListing := p.relay.cacheSurvey.since(0)
 	for {
 		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads()}
 		loads.CacheInserts, next = p.relay.placement.CacheInserts(next)
-		if len(loads.Servers)+len(loads.CacheInserts) > 0 || !lastEmpty {
+		loads.CacheListings, nextListing = p.relay.cacheSurvey.since(nextListing)
+		loads.CacheInserts = append(inserts, loads.CacheInserts...)
+		loads.CacheListings = append(listings, loads.CacheListings...)
+		inserts, listings = nil, nil
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -94,6 +103,18 @@
 	}
 }
 
+// share returns a function that reports whether a backend server is in this
+// relay's share of them.
+func (r *Relay) share() func(serverID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	relays := []string{r.settings.PeerListen}
+	for address := range r.peers {
+		relays = append(relays, address)
+	}
+	return func(serverID string) bool { return shard.Owner(relays, serverID) == r.settings.PeerListen }
+}
+
 // loadsInterval returns the interval between load messages to one relay.
 func (r *Relay) loadsInterval() time.Duration {
 	return max(minLoadsInterval, time.Duration(r.relayCount.Load())*time.Second/maxLoadsPerSecond)
@@ -109,5 +130,8 @@
 			return
 		}
 		r.placement.UpdatePeer(time.Now(), loads.Relay, loads.Servers, loads.CacheInserts)
+		for _, listing := range loads.CacheListings {
+			r.placement.RecordListing(listing)
+		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,7 @@
 		placement     *placement.Table
 		retryDetector *retryDetector
 		retryBudget   *budget.Budget
+		cacheSurvey   *cacheSurvey
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
@@ -163,6 +164,7 @@
 		peers:         map[string]*peer{},
 	}
 	r.relayCount.Store(1)
+	r.cacheSurvey = newCacheSurvey(r)
 	r.metrics = newRelayMetrics(host.Metrics, r)
 	return r, nil
 }
@@ -173,8 +175,9 @@
 		message.MethodLoads: wire.HandlerFunc(r.receiveLoads),
 	})
 	r.subscribeToControls(r.settings.Control)
-	r.tasks.Add(1)
+	r.tasks.Add(2)
 	go r.run()
+	go r.cacheSurvey.run(r.ctx)
 	ready, err := gate.New(r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
 	if err != nil {
 		return err
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -67,7 +67,13 @@
 func newTestbed(t *testing.T, list []routes.Route, servers ...*backendServer) *testbed {
 	t.Helper()
 	b := &testbed{t: t, servers: servers, workers: pool.New(64, 64)}
-	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{{Name: "assist"}}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
+	t.Helper()
+	return newTestbedFor(t, routes.Service{Name: "assist"}, list, servers...)
+}
+
+// newTestbedFor is newTestbed with the properties of the service.
+func newTestbedFor(t *testing.T, service routes.Service, list []routes.Route, servers ...*backendServer) *testbed {
+	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{service}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
 	b.update.RelayAddresses = []string{"relay", "second"}
 	for _, s := range servers {
 		s.start(t)
@@ -268,7 +274,7 @@
 			line += " " + name + "=" + value[strings.LastIndex(value, "/")+1:]
 		}
 	}
-	if got := r.Header.Get("Target-Instance"); got != s.name && r.Method != http.MethodDelete {
+	if got := r.Header.Get("Target-Instance"); got != s.name && r.Method != http.MethodDelete && !strings.HasPrefix(r.RequestURI, "/-/") {
 		line += " for " + got
 	}
 	s.requests = append(s.requests, line)
