Break streams that end within an event, and count progress in events

Cause, by new cases of TestRelay on the code before: a stream that ended within an event, with or without framing, was passed on as a complete success; a stalled stream that sent a byte now and then was not resumed; a sound one with pauses of 1.1 s was cut and resumed elsewhere; a response of 16 MB was buffered whole. Change: an incomplete event at the end breaks the stream. Only complete events count as progress, and the time for the next is at least three times the longest pause of the stream so far. A response that isn't a stream has at most 4 MB.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -12,13 +12,17 @@
 )
 
 const (
-	maxResponseBytes  = 16 << 20 // size of a response that is not a stream
-	streamBufferBytes = 8 << 10  // size of the read buffer of a stream
-	maxEventBytes     = 1 << 20  // size of an incomplete event
+	maxResponseBytes  = 4 << 20 // size of a response that is not a stream
+	streamBufferBytes = 8 << 10 // size of the read buffer of a stream
+	maxEventBytes     = 1 << 20 // size of an incomplete event
 
-	// streamStallTimeout is how long a resumable stream may send no data before it
+	// streamStallTimeout is how long a resumable stream may send no event before it
 	// is resumed on another server. Callers wait at least 2 s before they give up.
 	streamStallTimeout = 900 * time.Millisecond
+
+	// stallFactor extends streamStallTimeout for a stream that is slow all along: to
+	// this multiple of its longest pause so far.
+	stallFactor = 3
 )
 
 // responseForwarder forwards the response of one backend server to the caller.
@@ -51,24 +55,23 @@
 }
 
 // forwardStream forwards the events of a stream as they arrive. If the stream is
-// resumable and stalls, the request to the server is canceled.
+// resumable and stalls, the request to the server is canceled. Only complete
+// events count as progress: a stalled server may still send a byte now and then.
+// A stream that ends within an event is broken, whatever its framing says.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
-	var stallTimer *time.Timer
-	if j.route.Resumable {
-		stallTimer = time.AfterFunc(streamStallTimeout, f.cancel)
-		defer stallTimer.Stop()
-	}
+	stall := newStallDetector(j.route.Resumable, f.cancel)
+	defer stall.stop()
 	splitter := &eventSplitter{}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := f.resp.Read(buf)
-		if n > 0 && stallTimer != nil {
-			stallTimer.Reset(streamStallTimeout)
-		}
 		complete, tooLarge := splitter.feed(buf[:n])
-		if err == io.EOF {
-			complete = append(complete, splitter.partial...)
+		if len(complete) > 0 {
+			stall.progress(time.Now())
+		}
+		if err == io.EOF && len(bytes.TrimSpace(splitter.partial)) > 0 {
+			err = io.ErrUnexpectedEOF
 		}
 		if forwardErr := f.forwardEvents(complete, err == io.EOF); forwardErr != nil {
 			return forwardErr
@@ -158,6 +161,37 @@
 	return body, err
 }
 
+// stallDetector cancels the request of a resumable stream that sends no event for
+// too long.
+type stallDetector struct {
+	timer        *time.Timer // nil if the stream isn't resumable
+	lastProgress time.Time
+	longestPause time.Duration
+}
+
+func newStallDetector(resumable bool, cancel context.CancelFunc) *stallDetector {
+	d := &stallDetector{lastProgress: time.Now()}
+	if resumable {
+		d.timer = time.AfterFunc(streamStallTimeout, cancel)
+	}
+	return d
+}
+
+// progress records that the stream has sent an event.
+func (d *stallDetector) progress(now time.Time) {
+	d.longestPause = max(d.longestPause, now.Sub(d.lastProgress))
+	d.lastProgress = now
+	if d.timer != nil {
+		d.timer.Reset(max(streamStallTimeout, stallFactor*d.longestPause))
+	}
+}
+
+func (d *stallDetector) stop() {
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+}
+
 // eventSplitter splits a stream of server-sent events into complete events. An
 // event ends with a blank line.
 type eventSplitter struct {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,6 +13,8 @@
 	"endivedeck.example/routes"
 )
 
+const maxResponseBytes = 4 << 20 // limit of a response that isn't a stream
+
 const longPromptHeader = "Token-Counts: 9000,2\r\nPrompt-Prefix: ab:2500,cd:3700,ef:2800\r\n"
 
 var notExecuted = plainResponse(503, "full", "Not-Executed: 1")
@@ -52,6 +54,15 @@
 		{"stream that no server can resume", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "<cut>"), plainResponse(500, "bad"))},
 		{"stream resumed by the caller", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "Last-Event-Id: 6\r\n", "x"}, twoServers(streamResponse(event(7)), "")},
 		{"stream without a length, cut off", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", "", "x"}, twoServers("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"+event(1)+"<cut>", "")},
+		{"stream that ends within an event", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "id: 2\ndata: e"), "")},
+		{"stream without a length that ends within a character", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", "", "x"}, twoServers("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"+event(1)+"data: \xc3<cut>", "")},
+		{"stream that ends within its first event", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse("id: 1\nda"), "")},
+		{"stream that ends within an event, resumable", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "id: 2\nda"), streamResponse(event(2)))},
+		{"stalled stream that sends single bytes, resumable", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "<drip>"), streamResponse(event(2)))},
+		{"slow stream, resumable", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "<pause 450ms>", event(2), "<pause 1100ms>", event(3)), streamResponse(event(3)))},
+		{"response without end", oneRoute(routes.Idempotent, 2, false), [4]string{"GET", "/a/", "", ""}, twoServers("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("10000\r\n"+strings.Repeat("x", 0x10000)+"\r\n", 5*maxResponseBytes>>18), plainResponse(200, "good"))},
+		{"event without end", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "data: "+strings.Repeat("x", 2<<20), "<cut>"), streamResponse(event(2)))},
+		{"prefill response without end", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(plainResponse(200, strings.Repeat("x", 1<<20)), streamResponse(event(1)))},
 		{"prefill on another server", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(kvHandle, streamResponse(event(1)))},
 		{"prefill refused", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(notExecuted, streamResponse(event(1)))},
 		{"prefill, connection closed", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode("drop", streamResponse(event(1)))},
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -44,7 +44,9 @@
 
 	// backendServer is a backend server that follows a script: one step for each
 	// request, and the last step for all further ones. A step is the text of a
-	// response, which may end with "<cut>" to close the connection after it,
+	// response, which may end with "<cut>" to close the connection after it or with
+	// "<drip>" to send single bytes until the client closes it, and may contain
+	// "<pause 700ms>";
 	// "drop" to close the connection without a response, or "hang" to send nothing
 	// until the client closes the connection.
 	backendServer struct {
@@ -65,14 +67,14 @@
 // newTestbed starts the backend servers, the control instance and a relay that
 // has received the routes and the servers.
 func newTestbed(t *testing.T, list []routes.Route, servers ...*backendServer) *testbed {
-	t.Helper()
-	b := &testbed{t: t, servers: servers, workers: pool.New(64, 64)}
 	t.Helper()
 	return newTestbedFor(t, routes.Service{Name: "assist"}, list, servers...)
 }
 
 // newTestbedFor is newTestbed with the properties of the service.
 func newTestbedFor(t *testing.T, service routes.Service, list []routes.Route, servers ...*backendServer) *testbed {
+	t.Helper()
+	b := &testbed{t: t, servers: servers, workers: pool.New(64, 64)}
 	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{service}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
 	b.update.RelayAddresses = []string{"relay", "second"}
 	for _, s := range servers {
@@ -255,12 +257,38 @@
 			return
 		}
 		text, broken := strings.CutSuffix(step, "<cut>")
-		if _, err := io.WriteString(c, text); err != nil || broken {
+		text, drips := strings.CutSuffix(text, "<drip>")
+		if err := writeWithPauses(c, text); err != nil || broken {
 			return
 		}
+		for drips {
+			<-time.After(50 * time.Millisecond)
+			if _, err := io.WriteString(c, "1\r\n:\r\n"); err != nil {
+				return
+			}
+		}
 	}
 }
 
+// writeWithPauses writes text and waits where it contains "<pause DURATION>".
+func writeWithPauses(w io.Writer, text string) error {
+	for i, part := range strings.Split(text, "<pause ") {
+		if i > 0 {
+			length, rest, _ := strings.Cut(part, ">")
+			d, err := time.ParseDuration(length)
+			if err != nil {
+				return err
+			}
+			<-time.After(d)
+			part = rest
+		}
+		if _, err := io.WriteString(w, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // nextStep records a request and returns the script step for it.
 func (s *backendServer) nextStep(r *http.Request) string {
 	s.mu.Lock()
@@ -289,15 +317,19 @@
 	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
 }
 
-// streamResponse returns a chunked response of the given events. The event "<cut>"
-// leaves out the rest and closes the connection.
+// streamResponse returns a chunked response of the given events. The events "<cut>"
+// and "<drip>" leave out the rest, see backendServer; "<pause 700ms>" waits.
 func streamResponse(events ...string) string {
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for _, e := range events {
-		if e == "<cut>" {
+		if e == "<cut>" || e == "<drip>" {
 			return text.String() + e
 		}
+		if strings.HasPrefix(e, "<pause ") {
+			text.WriteString(e)
+			continue
+		}
 		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(e), e)
 	}
 	return text.String() + "0\r\n\r\n"
