Test a planned stop of a relay under load

Looked for: requests that had just been accepted are cut off without an answer. Result: not found. The test shows it.

--- /dev/null
+++ b/relay/stop_test.go
@@ -0,0 +1,108 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"endivedeck.example/relay"
+	"endivedeck.example/routes"
+	"endivedeck.example/settings"
+)
+
+// stopCaller sends one request after the other, on connections that it keeps until
+// the relay closes them, until it can't connect any more.
+type stopCaller struct {
+	address  string
+	answered int
+	cut      []string // requests of which a part of the response was missing
+	unread   int      // connections closed without a byte of a response
+}
+
+func (c *stopCaller) run(callers *sync.WaitGroup) {
+	defer callers.Done()
+	for {
+		conn, err := net.Dial("tcp", c.address)
+		if err != nil {
+			return
+		}
+		c.use(conn)
+		_ = conn.Close()
+	}
+}
+
+// use sends requests until the connection is to be closed.
+func (c *stopCaller) use(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := fmt.Fprint(conn, "POST /a/ HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: r1\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+			c.unread++
+			return
+		}
+		if _, err := reader.Peek(1); err != nil {
+			c.unread++
+			return
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			c.cut = append(c.cut, err.Error())
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || response.StatusCode == http.StatusOK && string(body) != "good" {
+			c.cut = append(c.cut, fmt.Sprintf("status %d, body %q: %v", response.StatusCode, body, err))
+			return
+		}
+		if response.StatusCode == http.StatusOK {
+			c.answered++
+		}
+		if response.Close {
+			return
+		}
+	}
+}
+
+// TestStopUnderLoad stops a relay while callers keep sending requests on new and on
+// kept connections. Each request that reached the backend server must have been
+// answered in full: a connection may be closed only while no request on it has been
+// passed on.
+func TestStopUnderLoad(t *testing.T) {
+	server := &backendServer{name: "a", script: []string{"<pause 20ms>" + plainResponse(200, "good")}}
+	b := newTestbed(t, oneRoute(routes.AtMostOnce, 1, false), server)
+	stopping := b.newRelayWith("stopping", "near", func(s *relay.Settings) { s.GracePeriod = settings.Duration(2 * time.Second) })
+	if err := stopping.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("the relay has received the backend server", func() bool { return stopping.ServerCount("assist") == 1 })
+	callers := make([]*stopCaller, 6)
+	var running sync.WaitGroup
+	for i := range callers {
+		callers[i] = &stopCaller{address: stopping.Address()}
+		running.Add(1)
+		go callers[i].run(&running)
+	}
+	b.waitFor("requests are answered", func() bool { return server.requestCount() > 20 })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := stopping.Stop(ctx); err != nil {
+		t.Errorf("stopping the relay: %v", err)
+	}
+	running.Wait()
+	answered := 0
+	for _, c := range callers {
+		answered += c.answered
+		if len(c.cut) > 0 {
+			t.Errorf("got responses that were cut: %s", strings.Join(c.cut, "; "))
+		}
+	}
+	if got, want := answered, server.requestCount(); got != want {
+		t.Errorf("got %d complete answers, want %d, as many as requests that reached the backend server", got, want)
+	}
+}
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -114,6 +114,11 @@
 }
 
 func (b *testbed) newRelay(name, domain string) *relay.Relay {
+	return b.newRelayWith(name, domain, func(*relay.Settings) {})
+}
+
+// newRelayWith returns a relay whose settings were changed by adjust.
+func (b *testbed) newRelayWith(name, domain string, adjust func(*relay.Settings)) *relay.Relay {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	process := kernel.DefaultProcessSettings()
@@ -128,6 +133,7 @@
 	s.Dialect = "provider"
 	s.GracePeriod = settings.Duration(0)
 	s.SilenceTimeout = settings.Duration(time.Minute)
+	adjust(&s)
 	r, err := relay.New(host, s, b.network.Transport(name))
 	if err != nil {
 		b.t.Fatal(err)
