Log what libraries print as JSON lines

Cause: each process printed quic-go's warning on the receive buffer in plain text between its JSON lines. Change: the standard library's log goes through the log of the process.

--- a/command/serve.go
+++ b/command/serve.go
@@ -69,6 +69,9 @@
 	if process.MaxCores > 0 {
 		runtime.GOMAXPROCS(process.MaxCores)
 	}
+	if err := redirectLibraryLog(process, logOutput); err != nil {
+		return reportError(err)
+	}
 	k, err := kernel.New(process, logOutput)
 	if err != nil {
 		return reportError(err)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -147,7 +147,7 @@
 }
 
 func newKernel(process ProcessSettings, out io.Writer, set *metrics.Set) (*Kernel, error) {
-	log, err := newLog(process, out)
+	log, err := NewLog(process, out)
 	if err != nil {
 		return nil, err
 	}
@@ -247,7 +247,9 @@
 	return mux
 }
 
-func newLog(process ProcessSettings, out io.Writer) (*logrus.Entry, error) {
+// NewLog returns the log of a process, which writes JSON lines to out. It fails if
+// the log level is unknown.
+func NewLog(process ProcessSettings, out io.Writer) (*logrus.Entry, error) {
 	level, err := logrus.ParseLevel(process.LogLevel)
 	if err != nil {
 		return nil, fault.New(fault.Malformed, fault.NotRun, "logLevel: %v", err)
