Free the KV cache of a prefill whose decoder can't be reached

Cause: the cache was freed only when no time was left; after a refused connection it stayed for its lifetime of 5 s, during which its memory is of no use. Change: it is freed when the request was not sent. The load of a relay that has left is removed, not only ignored. Result: TestKVReleaseAfterRefusedConnection waits in vain without the change; TestRemovePeer.

--- a/placement/loads.go
+++ b/placement/loads.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// RemovePeer removes the load of a relay that has left.
+func (t *Table) RemovePeer(relay string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peerLoads, relay)
+}
+
 // recordInsert records that a server inserts a prompt into its cache, and keeps
 // the insertion for the other relays.
 func (t *Table) recordInsert(s *server, prefixes []uint64, tokens int) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// TestRemovePeer checks that the load of a relay that has left counts no more and is
+// not kept.
+func TestRemovePeer(t *testing.T) {
+	table := newEngineTable()
+	table.UpdatePeer(start, "relay-2", []Load{{Server: "p1", Pending: 200 * time.Millisecond, Active: 8}}, nil)
+	table.RemovePeer("relay-2")
+	if got := len(table.peerLoads); got != 0 {
+		t.Errorf("relays whose load is kept: got %d, want 0", got)
+	}
+	if got := table.loadOf(start, table.servers["p1"]).active; got != 0 {
+		t.Errorf("requests at p1: got %d, want 0", got)
+	}
+}
+
 // TestFailures checks that a server that doesn't respond is in backoff, longer
 // each time, and is then used again, and that a server in backoff is used if all
 // of them are.
--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -69,3 +69,15 @@
 		return unresponsive.requestCount() > 0
 	})
 }
+
+// TestKVReleaseAfterRefusedConnection checks that the KV cache of a prefill is freed
+// if the engine that was to decode can't be connected to.
+func TestKVReleaseAfterRefusedConnection(t *testing.T) {
+	servers := prefillAndDecode(plainResponse(200, `{"kvHandle":"h7","tokens":9000,"version":1}`), streamResponse(event(1)))
+	b := newTestbed(t, oneRoute(routes.Stream, 1, false), servers...)
+	_ = servers[1].listener.Close()
+	if got := b.send(http.MethodPost, "/a/", longPromptHeader, "x"); !strings.HasPrefix(got, "503 ") {
+		t.Errorf("got %s, want status 503", got)
+	}
+	b.waitFor("the KV cache is freed", func() bool { return strings.Contains(b.requestLog(), "DELETE /-/kv-handle/h7") })
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -286,6 +286,8 @@
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
 		if fault.FromError(err).Ran != fault.NotRun {
 			j.executions++
+		} else {
+			j.releaseKV(opts)
 		}
 		return err
 	}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -43,6 +43,7 @@
 		if !slices.Contains(addresses, address) {
 			p.cancel()
 			delete(r.peers, address)
+			r.placement.RemovePeer(address)
 		}
 	}
 	for _, address := range addresses {
