Let requests wait for the first routes of a relay

A caller that is refused comes back once, within the same outage. Change: a request waits up to 0.6 s for the first routes, and is refused as not run if none come. Its log line tells why it had no route. Result: TestRequestBeforeRoutes gets 503 without the change, 200 with it.

--- a/relay/control.go
+++ b/relay/control.go
@@ -77,6 +77,8 @@
 	}
 }
 
+func (r *Relay) closeRoutesKnown() { close(r.routesKnown) }
+
 // applyUpdate applies an update from the control instance at address from.
 func (r *Relay) applyUpdate(now time.Time, from string, update message.RelayUpdate) {
 	if update.Routes != nil && r.routeView.Install(*update.Routes) {
@@ -91,6 +93,9 @@
 		r.placement.SetServers(servers)
 		r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
 	}
+	if _, known := r.routeView.Version(); known {
+		r.routesOnce.Do(r.closeRoutesKnown) // after the servers of the same update
+	}
 	if len(r.placement.CachingServers()) > 0 {
 		r.cacheSurvey.begin()
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,7 +18,10 @@
 	}
 	fields := logrus.Fields{"request": j.info.ID, "version": j.routesVersion, "status": status, "whole": total.Milliseconds()}
 	if j.route == nil {
-		j.relay.log.WithFields(fields).WithField("host", j.request.Host).WithField("path", j.request.URL.Path).Info("no route matches the request")
+		if err != nil {
+			fields["error"] = fault.FromError(err).Message
+		}
+		j.relay.log.WithFields(fields).WithField("host", j.request.Host).WithField("path", j.request.URL.Path).Info("request has no route")
 		return
 	}
 	j.relay.metrics.countRequest(j.route.Kind, status, j.timeToFirstByte, total)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,8 @@
 		dialect       Dialect
 		client        *wire.Client
 		routeView     *routes.View
+		routesKnown   chan struct{} // closed when the first routes are in force
+		routesOnce    sync.Once     // closes routesKnown
 		roster        *roster.Roster
 		placement     *placement.Table
 		retryDetector *retryDetector
@@ -148,6 +150,7 @@
 		dialect:       dialect,
 		client:        wire.NewClient(transport),
 		routeView:     routes.NewView(),
+		routesKnown:   make(chan struct{}),
 		roster:        roster.New(settings.SilenceTimeout.Std()),
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -18,6 +18,10 @@
 	// time left.
 	retryAfter = 600 * time.Millisecond
 
+	// startupWait is how long a request may wait for the first routes. Callers give
+	// up a request that isn't read within a second.
+	startupWait = 600 * time.Millisecond
+
 	writeMargin = time.Second // after the request's deadline, to write the last bytes
 
 	statusAborted = 499 // logged as the status of a response that was cut off
@@ -46,7 +50,7 @@
 
 // prepare finds the route of the request and reads its header and body.
 func (r *Relay) prepare(j *job) error {
-	if _, known := r.routeView.Version(); !known {
+	if !r.awaitRoutes(j) {
 		return fault.New(fault.Unavailable, fault.NotRun, "the relay has not received any routes yet")
 	}
 	path, _, _ := strings.Cut(j.request.RequestURI, "?")
@@ -69,6 +73,26 @@
 	return err
 }
 
+// awaitRoutes waits up to startupWait for the first routes and reports whether the
+// relay has any. After a restart of all processes that takes one election, and a
+// caller that is refused may come back only once.
+func (r *Relay) awaitRoutes(j *job) bool {
+	select {
+	case <-r.routesKnown:
+		return true
+	default:
+	}
+	ctx, cancel := context.WithTimeout(j.request.Context(), startupWait)
+	defer cancel()
+	select {
+	case <-r.routesKnown:
+		return true
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	}
+	return false
+}
+
 // runOnWorker runs j on a worker of the pool. The deadline is the shorter of the
 // route's timeout and the time that the caller asked for.
 func (r *Relay) runOnWorker(j *job) error {
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -40,6 +40,7 @@
 
 		mu     sync.Mutex
 		update message.RelayUpdate // sent at the start of each subscription
+		hold   chan struct{}       // if not nil, subscriptions get nothing until it is closed
 	}
 
 	// backendServer is a backend server that follows a script: one step for each
@@ -145,8 +146,11 @@
 // open.
 func (b *testbed) sendUpdate(call *wire.ServerCall) {
 	b.mu.Lock()
-	update := b.update
+	update, hold := b.update, b.hold
 	b.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	if err := call.Send(update); err != nil {
 		call.End()
 	}
