Notice keys that are replaced by older files, and log failed reloads

Cause: files were reloaded only if the newest of the three was newer than before. An authority that was withdrawn by putting an earlier file in place stayed trusted until the process restarted, and a file that could not be read was ignored. Change: each file's time and size are compared; a failed reload is logged once for each change, and the earlier keys stay in use.

--- a/command/load.go
+++ b/command/load.go
@@ -82,6 +82,8 @@
 	f.StringVar(&c.kind, "kind", "entry", "role of the holders: entry or sidecar")
 }
 
+func reportReloadError(err error) { reportError(err) }
+
 func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.control == "" || f.NArg() > 0 || c.kind != "entry" && c.kind != "sidecar" {
 		f.Usage()
@@ -89,7 +91,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	credentials, err := keys.Load(c.keys)
+	credentials, err := keys.Load(c.keys, reportReloadError)
 	if err != nil {
 		return reportError(err)
 	}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -15,10 +15,12 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,11 +46,12 @@
 	// Credentials holds the loaded keys of an instance and reloads them when the
 	// files change. Create it with Load.
 	Credentials struct {
-		files Files
+		files        Files
+		reloadFailed func(error)
 
 		mu          sync.Mutex
 		checkedAt   time.Time // last check for changes of the files
-		modifiedAt  time.Time // modification time of the loaded files
+		version     string    // of the files as last read, also if that failed
 		certificate *tls.Certificate
 		roots       *x509.CertPool
 	}
@@ -61,9 +64,10 @@
 	}
 )
 
-// Load loads the keys of an instance.
-func Load(files Files) (*Credentials, error) {
-	c := &Credentials{files: files}
+// Load loads the keys of an instance. It calls reloadFailed when the files have
+// changed and can't be reloaded, once for each change.
+func Load(files Files, reloadFailed func(error)) (*Credentials, error) {
+	c := &Credentials{files: files, reloadFailed: reloadFailed}
 	if err := c.load(); err != nil {
 		return nil, err
 	}
@@ -144,8 +148,10 @@
 	now := time.Now()
 	if now.Sub(c.checkedAt) > recheckInterval {
 		c.checkedAt = now
-		if latestModTime(c.files).After(c.modifiedAt) {
-			_ = c.load()
+		if fileVersion(c.files) != c.version {
+			if err := c.load(); err != nil {
+				c.reloadFailed(err)
+			}
 		}
 	}
 	return c.certificate, c.roots
@@ -153,7 +159,7 @@
 
 // load reads the files. The lock must be held, except in Load.
 func (c *Credentials) load() error {
-	modifiedAt := latestModTime(c.files)
+	c.version = fileVersion(c.files)
 	pair, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
 	if err != nil {
 		return fault.New(fault.Malformed, fault.NotRun, "keys: %v", err)
@@ -168,21 +174,22 @@
 	}
 	c.certificate = &pair
 	c.roots = roots
-	c.modifiedAt = modifiedAt
 	return nil
 }
 
-// latestModTime returns the latest modification time of the files. It ignores
-// files that can't be read.
-func latestModTime(files Files) time.Time {
-	var latest time.Time
+// fileVersion returns a text that changes when one of the files is replaced, also by
+// an older one, as when an authority is withdrawn by putting back an earlier file.
+func fileVersion(files Files) string {
+	var version strings.Builder
 	for _, name := range []string{files.Authority, files.Certificate, files.Key} {
 		info, err := os.Stat(name)
-		if err == nil && info.ModTime().After(latest) {
-			latest = info.ModTime()
+		if err != nil {
+			fmt.Fprintf(&version, "%v;", err)
+			continue
 		}
+		fmt.Fprintf(&version, "%d %d;", info.ModTime().UnixNano(), info.Size())
 	}
-	return latest
+	return version.String()
 }
 
 // NewAuthority creates a certificate authority and writes authority.pem and
--- a/wire/quicline/peers_test.go
+++ b/wire/quicline/peers_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	files.Authority = filepath.Join(trusted, "authority.pem")
-	credentials, err := keys.Load(files)
+	credentials, err := keys.Load(files, func(error) {}) // fails while the test replaces one of the files
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wire/quicline/quicline.go
+++ b/wire/quicline/quicline.go
@@ -70,13 +70,20 @@
 	if err := host.Section("keys", &files); err != nil {
 		return nil, err
 	}
-	credentials, err := keys.Load(files)
+	credentials, err := keys.Load(files, reloadLog{host.Log}.failed)
 	if err != nil {
 		return nil, err
 	}
 	return New(credentials, host.Log), nil
 }
 
+// reloadLog logs that keys could not be reloaded.
+type reloadLog struct{ log *logrus.Entry }
+
+func (l reloadLog) failed(err error) {
+	l.log.WithField("error", err.Error()).Error("reloading the keys failed, the earlier ones stay in use")
+}
+
 // newUnauthenticated creates the transport "quic-open", whose connections are
 // encrypted but not authenticated.
 func newUnauthenticated(host *kernel.Host) (wire.Transport, error) {
