Send no request to a decoder that left during the prefill

The decoder was chosen before the prefill and not looked at again. Change: after the prefill the decoder must still take requests; otherwise another is chosen for the same KV cache, and the cache is freed if there is none.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -103,6 +103,29 @@
 	return ps.commit(p), nil
 }
 
+// ChooseDecoder assigns a request whose prefill has run on prefiller to an engine that
+// decodes. It returns a fault.Unavailable error if there is none.
+func (t *Table) ChooseDecoder(now time.Time, req Request, prefiller roster.Server) (*Ticket, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ps := &promptSearch{table: t, now: now, req: req, prefixes: req.prefixHashes(), candidates: t.candidates(now, req)}
+	p := plan{server: &server{Server: prefiller}}
+	var bestCost time.Duration
+	for _, s := range ps.candidates {
+		if s.Stage == roster.Prefill {
+			continue
+		}
+		if cost := ps.decodeCost(s); p.decoder == nil || cost < bestCost {
+			p.decoder, bestCost = s, cost
+		}
+	}
+	if p.decoder == nil {
+		return nil, errNoDecoder(req)
+	}
+	ps.addHandoff(&p)
+	return ps.assignDecoder(p), nil
+}
+
 // meetsObjective reports whether the wait until the response begins is short
 // enough for the latency objective. The request's own prefill counts only in
 // part, so that large requests aren't refused much more often than small ones.
@@ -255,7 +278,13 @@
 		return c
 	}
 	c.Prefiller = ticket
-	c.Runner = t.assign(ps.now, p.decoder, ps.req, prefillJob{
+	c.Runner = ps.assignDecoder(p)
+	return c
+}
+
+// assignDecoder assigns the request to the decoder of a plan.
+func (ps *promptSearch) assignDecoder(p plan) *Ticket {
+	return ps.table.assign(ps.now, p.decoder, ps.req, prefillJob{
 		prefillTime:  decodeStepTime,
 		handoff:      true,
 		transferTime: p.transferTime,
@@ -263,7 +292,6 @@
 		prefixes:     ps.prefixes,
 		newTokens:    ps.uncachedTokens(p.decoder),
 	})
-	return c
 }
 
 // prefixHashes returns a hash for each prefix that consists of whole parts. It
--- a/relay/job.go
+++ b/relay/job.go
@@ -148,19 +148,8 @@
 // response was forwarded to the caller.
 func (j *job) attempt() error {
 	now := time.Now()
-	choice, err := j.relay.placement.Choose(now, placement.Request{
-		Service:       j.service,
-		Domain:        j.relay.host.Process.FailureDomain,
-		Prompt:        j.info.Prompt,
-		PromptTokens:  j.info.PromptTokens,
-		MaxTokens:     j.info.MaxTokens,
-		Class:         j.route.Name,
-		Excluded:      j.tried,
-		SingleEngine:  j.colocated,
-		ObjectiveLeft: j.objectiveLeft(now),
-		TimeLeft:      j.deadline.Sub(now),
-		MustPlace:     j.sends > 0 || j.route.Kind != routes.Stream,
-	})
+	request := j.placementRequest(now)
+	choice, err := j.relay.placement.Choose(now, request)
 	if err != nil {
 		return err
 	}
@@ -176,10 +165,42 @@
 			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Canceled})
 			return err
 		}
+		if choice.Runner, err = j.replaceRunner(request, choice); err != nil {
+			j.releaseKV(opts)
+			return err
+		}
 	}
 	return j.execute(choice.Runner, opts)
 }
 
+// placementRequest returns the request as package placement needs it.
+func (j *job) placementRequest(now time.Time) placement.Request {
+	return placement.Request{
+		Service:       j.service,
+		Domain:        j.relay.host.Process.FailureDomain,
+		Prompt:        j.info.Prompt,
+		PromptTokens:  j.info.PromptTokens,
+		MaxTokens:     j.info.MaxTokens,
+		Class:         j.route.Name,
+		Excluded:      j.tried,
+		SingleEngine:  j.colocated,
+		ObjectiveLeft: j.objectiveLeft(now),
+		TimeLeft:      j.deadline.Sub(now),
+		MustPlace:     j.sends > 0 || j.route.Kind != routes.Stream,
+	}
+}
+
+// replaceRunner returns the runner of choice, or another one if that has left or
+// started to drain during the prefill, which may take seconds.
+func (j *job) replaceRunner(request placement.Request, choice placement.Choice) (*placement.Ticket, error) {
+	if j.relay.placement.HasServer(choice.Runner.Server.ID) {
+		return choice.Runner, nil
+	}
+	now := time.Now()
+	choice.Runner.End(now, placement.Outcome{Result: placement.Canceled})
+	return j.relay.placement.ChooseDecoder(now, request, choice.Prefiller.Server)
+}
+
 // objectiveLeft returns what is left of the route's latency objective. For a
 // client retry it is 0, since that has missed the objective already.
 func (j *job) objectiveLeft(now time.Time) time.Duration {
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -41,6 +41,7 @@
 		mu     sync.Mutex
 		update message.RelayUpdate // sent at the start of each subscription
 		hold   chan struct{}       // if not nil, subscriptions get nothing until it is closed
+		calls  []*wire.ServerCall  // open subscriptions
 	}
 
 	// backendServer is a backend server that follows a script: one step for each
@@ -153,6 +154,22 @@
 	}
 	if err := call.Send(update); err != nil {
 		call.End()
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = append(b.calls, call)
+}
+
+// announce sends an announcement of a backend server to all subscriptions.
+func (b *testbed) announce(s roster.Server) {
+	b.t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, call := range b.calls {
+		if err := call.Send(message.RelayUpdate{Servers: []roster.Observation{{Server: s}}}); err != nil {
+			b.t.Fatal(err)
+		}
 	}
 }
 
