Take every response as its own where a request has no Match

Found while the diff was read. Change: without Match every response counts, as before. Result: TestNoMatch fails on the second request without the change.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -40,7 +40,7 @@
 		MaxConns int // connections to the server that may be open; 0 means no limit
 
 		// Match reports whether a response with this header belongs to the request.
-		// If it is nil, that is unknown for every response.
+		// If it is nil, every response does.
 		Match func(header http.Header) Match
 	}
 
@@ -155,7 +155,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		match := Unknown
+		match := Own
 		if r.Match != nil {
 			match = r.Match(response.Header)
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -272,3 +272,25 @@
 		t.Errorf("got %v, want deadline and unknown", err)
 	}
 }
+
+// TestNoMatch checks that without Request.Match every response counts as the
+// request's own, also on a reused connection.
+func TestNoMatch(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	s := newScriptedServer(t, response, response)
+	p := newPool()
+	defer p.Close()
+	for i := range 2 {
+		resp, err := p.Send(context.Background(), s.address(), Request{Method: http.MethodGet, Host: "h", Path: "/", Header: http.Header{}})
+		if err != nil {
+			t.Fatalf("request %d: %v", i+1, err)
+		}
+		if got, err := io.ReadAll(resp); err != nil || string(got) != "ok" {
+			t.Errorf("request %d: got %q, %v, want ok", i+1, got, err)
+		}
+		resp.Close()
+	}
+	if got, want := p.DialCount(), int64(1); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
