--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -109,19 +109,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ps := &promptSearch{table: t, now: now, req: req, prefixes: req.prefixHashes(), candidates: t.candidates(now, req)}
-	p := plan{server: &server{Server: prefiller}}
-	var bestCost time.Duration
-	for _, s := range ps.candidates {
-		if s.Stage == roster.Prefill {
-			continue
-		}
-		if cost := ps.decodeCost(s); p.decoder == nil || cost < bestCost {
-			p.decoder, bestCost = s, cost
-		}
-	}
-	if p.decoder == nil {
+	decoder, _ := ps.bestDecoder()
+	if decoder == nil {
 		return nil, errNoDecoder(req)
 	}
+	p := plan{server: &server{Server: prefiller}, decoder: decoder}
 	ps.addHandoff(&p)
 	return ps.assignDecoder(p), nil
 }
@@ -178,8 +170,6 @@
 // engines that decode chats, because they would delay the chats.
 func (ps *promptSearch) bestPlan(late bool) (plan, error) {
 	var split, single plan // with separate engines, and with one for both
-	var decoder *server
-	var decoderCost time.Duration
 	for _, s := range ps.candidates {
 		p := ps.estimate(s, late)
 		if s.Stage == roster.Prefill {
@@ -191,10 +181,8 @@
 		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) {
 			single = p
 		}
-		if cost := ps.decodeCost(s); decoder == nil || cost < decoderCost {
-			decoder, decoderCost = s, cost
-		}
 	}
+	decoder, decoderCost := ps.bestDecoder()
 	if decoder == nil {
 		return plan{}, errNoDecoder(ps.req)
 	}
@@ -239,6 +227,22 @@
 	return p
 }
 
+// bestDecoder returns the candidate of the lowest decodeCost, or nil if none of them
+// decodes.
+func (ps *promptSearch) bestDecoder() (*server, time.Duration) {
+	var best *server
+	var bestCost time.Duration
+	for _, s := range ps.candidates {
+		if s.Stage == roster.Prefill {
+			continue
+		}
+		if cost := ps.decodeCost(s); best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best, bestCost
+}
+
 // addHandoff adds the time to hand the request over to the decoder of p.
 func (ps *promptSearch) addHandoff(p *plan) {
 	tokens := ps.uncachedTokens(p.decoder)
