Free three tests of relay from waits of a fixed length

Cause: they waited 100 to 300 ms for a message to arrive and could have failed beside load; none did. Change: the stand-in engine waits for the test, the wait for routes is tested in test time, and the survey is checked until its lists have arrived.

--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -83,19 +83,33 @@
 	b.waitFor("the KV cache is freed", func() bool { return strings.Contains(b.requestLog(), "DELETE /-/kv-handle/h7") })
 }
 
+// promptCaller sends one long prompt.
+type promptCaller struct {
+	testbed  *testbed
+	response chan string
+}
+
+func (c *promptCaller) run() {
+	c.response <- c.testbed.send(http.MethodPost, "/a/", longPromptHeader, "x")
+}
+
 // TestDecoderLeavesDuringPrefill has the engine that is to decode say that it leaves
 // while another one prefills the prompt. The request must not be sent to it any more
 // but to another engine, which takes over the KV cache.
 func TestDecoderLeavesDuringPrefill(t *testing.T) {
-	kvHandle := "<pause 300ms>" + plainResponse(200, `{"kvHandle":"h7","tokens":9000,"version":1}`)
+	kvHandle := "<await>" + plainResponse(200, `{"kvHandle":"h7","tokens":9000,"version":1}`)
 	servers := prefillAndDecode(kvHandle, streamResponse(event(1)))
+	servers[0].release = make(chan struct{})
 	servers[1].domain = "near"
 	servers = append(servers, &backendServer{name: "c", stage: roster.Decode, domain: "elsewhere", script: []string{streamResponse(event(1))}})
 	b := newTestbed(t, oneRoute(routes.Stream, 1, false), servers...)
-	time.AfterFunc(100*time.Millisecond, func() {
-		b.announce(roster.Server{ID: "b", Service: "assist", Address: servers[1].listener.Addr().String(), StartedAt: 1, Seq: 2, Slots: 8, Stage: roster.Decode, Domain: "near", Draining: true})
-	})
-	if got := b.send(http.MethodPost, "/a/", longPromptHeader, "x"); !strings.HasPrefix(got, "200 ") {
+	c := &promptCaller{testbed: b, response: make(chan string, 1)}
+	go c.run()
+	b.waitFor("the prefill has begun", func() bool { return servers[0].requestCount() == 1 })
+	b.announce(roster.Server{ID: "b", Service: "assist", Address: servers[1].listener.Addr().String(), StartedAt: 1, Seq: 2, Slots: 8, Stage: roster.Decode, Domain: "near", Draining: true})
+	b.waitFor("the relay knows that b leaves", func() bool { return b.relay.ServerCount("assist") == 2 })
+	close(servers[0].release)
+	if got := <-c.response; !strings.HasPrefix(got, "200 ") {
 		t.Errorf("got %s, want status 200", got)
 	}
 	got := b.requestLog()
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"endivedeck.example/settings"
@@ -34,6 +36,34 @@
 	}
 }
 
+// TestAwaitRoutes checks that a request waits for the first routes of a relay, and not
+// longer than startupWait, so that a refusal reaches its caller in time.
+func TestAwaitRoutes(t *testing.T) {
+	for _, c := range []struct {
+		arrival time.Duration // of the routes
+		want    bool
+		wait    time.Duration
+	}{
+		{0, true, 0},
+		{100 * time.Millisecond, true, 100 * time.Millisecond},
+		{time.Second, false, startupWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &Relay{routesKnown: make(chan struct{}), ctx: t.Context()}
+			if c.arrival == 0 {
+				r.closeRoutesKnown()
+			} else {
+				time.AfterFunc(c.arrival, r.closeRoutesKnown)
+			}
+			start := time.Now()
+			got := r.awaitRoutes(&job{request: httptest.NewRequest("POST", "/a/", nil)})
+			if wait := time.Since(start); got != c.want || wait != c.wait {
+				t.Errorf("routes after %v: got %v after %v, want %v after %v", c.arrival, got, wait, c.want, c.wait)
+			}
+		})
+	}
+}
+
 // TestEventSplitter checks that events are split correctly when the stream arrives
 // in chunks of any size.
 func TestEventSplitter(t *testing.T) {
--- a/relay/startup_test.go
+++ b/relay/startup_test.go
@@ -4,14 +4,13 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"endivedeck.example/routes"
 )
 
-// TestRequestBeforeRoutes sends a request to a relay that has no routes yet, as
-// after a restart of all processes. It must be served once the routes arrive, and a
-// relay that receives none must refuse it as not run.
+// TestRequestBeforeRoutes sends a request to a relay that receives no routes: it must
+// be refused as not run. Once the routes arrive, requests must be served; see
+// TestAwaitRoutes for one that waits for them.
 func TestRequestBeforeRoutes(t *testing.T) {
 	b := newTestbed(t, oneRoute(routes.AtMostOnce, 1, false), &backendServer{name: "a", script: []string{plainResponse(200, "good")}})
 	b.mu.Lock()
@@ -25,8 +24,8 @@
 	if got := b.sendTo(started, http.MethodPost, "/a/", "", "x"); !strings.HasPrefix(got, "503 Retry-After=") {
 		t.Errorf("no routes: got %s, want status 503 with Retry-After", got)
 	}
-	time.AfterFunc(100*time.Millisecond, func() { close(b.hold) })
-	if got := b.sendTo(started, http.MethodPost, "/a/", "", "x"); !strings.HasPrefix(got, "200 ") {
-		t.Errorf("routes arrive meanwhile: got %s, want status 200", got)
-	}
+	close(b.hold)
+	b.waitFor("requests are served", func() bool {
+		return strings.HasPrefix(b.sendTo(started, http.MethodPost, "/a/", "", "x"), "200 ")
+	})
 }
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -48,7 +48,7 @@
 	// request, and the last step for all further ones. A step is the text of a
 	// response, which may end with "<cut>" to close the connection after it or with
 	// "<drip>" to send single bytes until the client closes it, and may contain
-	// "<pause 700ms>";
+	// "<pause 700ms>", or begin with "<await>" to wait until release is closed;
 	// "drop" to close the connection without a response, or "hang" to send nothing
 	// until the client closes the connection.
 	backendServer struct {
@@ -56,6 +56,7 @@
 		stage    roster.Stage
 		domain   string
 		script   []string
+		release  chan struct{}
 		listener net.Listener
 
 		mu           sync.Mutex
@@ -283,6 +284,10 @@
 			s.once.Do(func() { close(s.disconnected) })
 			return
 		}
+		step, awaits := strings.CutPrefix(step, "<await>")
+		if awaits {
+			<-s.release
+		}
 		text, broken := strings.CutSuffix(step, "<cut>")
 		text, drips := strings.CutSuffix(text, "<drip>")
 		if err := writeWithPauses(c, text); err != nil || broken {
