Log when a request was accepted and whether its relay was stopping

Callers saw streams cut beside a change of the configuration. From the line of a request an on-call engineer couldn't tell whether the relay had taken it before or after the stop signal, which routes were in force when it ended, or how long it was allowed to take, so a stop and a change looked alike.

The line has the time of acceptance, the routes in force at the end if they are others, the time allowed, and the time since the stop began. A relay logs the number of requests running when a stop begins, and a stop that timed out names its cause instead of "context deadline exceeded" alone. No decision changes.

--- a/relay/log.go
+++ b/relay/log.go
@@ -16,7 +16,16 @@
 	if j.response.aborted {
 		status = statusAborted
 	}
-	fields := logrus.Fields{"request": j.info.ID, "version": j.routesVersion, "status": status, "whole": total.Milliseconds()}
+	fields := logrus.Fields{
+		"request": j.info.ID, "accepted": j.start.Format(time.RFC3339Nano), "version": j.routesVersion,
+		"status": status, "whole": total.Milliseconds(),
+	}
+	if latest, _ := j.relay.routeView.Version(); latest != j.routesVersion {
+		fields["latest"] = latest
+	}
+	if elapsed, stopping := j.relay.stopElapsed(time.Now()); stopping {
+		fields["stopping"] = elapsed.Milliseconds()
+	}
 	if j.route == nil {
 		if err != nil {
 			fields["error"] = fault.FromError(err).Message
@@ -42,6 +51,9 @@
 		fields["source"] = j.choice.PrefixSource
 	}
 	fields["first"] = j.timeToFirstByte.Milliseconds()
+	if !j.deadline.IsZero() {
+		fields["allowed"] = j.deadline.Sub(j.start).Milliseconds()
+	}
 	if j.info.PromptTokens > 0 {
 		fields["tokens"] = j.info.PromptTokens
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,7 @@
 		readyServer   *gate.Server
 		stopping      atomic.Bool
 		stopStarted   atomic.Int64 // when Stop was called, in Unix nanoseconds
+		running       atomic.Int64 // requests being handled
 		relayCount    atomic.Int64 // relays that share the limits, including this one
 		peerListener  wire.Listener
 		peerServer    *wire.Server
@@ -207,10 +208,15 @@
 func (r *Relay) Stop(ctx context.Context) error {
 	r.stopStarted.Store(time.Now().UnixNano())
 	r.stopping.Store(true)
+	r.log.WithField("running", r.running.Load()).WithField("grace", r.settings.GracePeriod.Std().Milliseconds()).Info("stop begins")
 	if wait := r.settings.GracePeriod.Std() - shutdownMargin; wait > 0 {
 		interval.Sleep(ctx, wait)
 	}
 	err := r.callerServer.Stop(ctx)
+	if err != nil {
+		err = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "stop timed out: responses that were still running were cut: %v", err)
+		r.log.WithField("error", fault.FromError(err).Message).Warn("stop timed out")
+	}
 	_ = r.readyServer.Stop(ctx)
 	r.cancel()
 	r.peerServer.Close()
@@ -227,10 +233,18 @@
 	if !r.stopping.Load() {
 		return false
 	}
-	elapsed := now.Sub(time.Unix(0, r.stopStarted.Load()))
+	elapsed, _ := r.stopElapsed(now)
 	return elapsed > readinessDelay && elapsed+timeout > r.settings.GracePeriod.Std()-shutdownMargin
 }
 
+// stopElapsed returns how long ago Stop was called, and whether it was.
+func (r *Relay) stopElapsed(now time.Time) (time.Duration, bool) {
+	if !r.stopping.Load() {
+		return 0, false
+	}
+	return now.Sub(time.Unix(0, r.stopStarted.Load())), true
+}
+
 // Address returns the address on which callers connect.
 func (r *Relay) Address() string { return r.callerServer.Address() }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -30,6 +30,8 @@
 // ServeHTTP implements http.Handler. It serves the requests of callers.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	start := time.Now()
+	r.running.Add(1)
+	defer r.running.Add(-1)
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
