Refuse streams that may outlast a stopping relay from the signal on

Callers saw a stream end in the middle, beside a change of the configuration: a relay that was stopping had taken it 1.4 s after its stop signal and cut it at the end of its time, 7.6 s after the signal.

Cause: a stopping relay refused what may outlast it only from 2.5 s after the signal on, so that the balancer could move callers first. Until then it took streams of up to 15 s, of which about a quarter outlast it.

Now a request is refused as not run from the signal on if by its route and its caller it may take longer than the relay will serve, with Retry-After 0, since other relays can take it at once. What must end earlier is served as before. The class is a process that accepts work it knows it may not be there to finish.

TestStreamTakenAfterStopSignal failed before with a truncated response (200, first event only) and a second request at the backend server. TestMayOutliveRelay had the window in its table; its rows are turned round and two bounds added, so it is stricter.

--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -10,11 +10,11 @@
 )
 
 // TestMayOutliveRelay checks which requests a stopping relay refuses: those that may
-// still run when it is killed, but none during readinessDelay.
+// still run when it is killed, from the stop signal on.
 func TestMayOutliveRelay(t *testing.T) {
 	r := &Relay{settings: Settings{GracePeriod: settings.Duration(8 * time.Second)}}
 	start := time.Unix(1_800_000_000, 0)
-	if r.mayOutliveRelay(start, time.Minute) {
+	if r.mayOutliveRelay(start.Add(time.Minute)) {
 		t.Error("a relay that is not stopping refuses a request")
 	}
 	r.stopStarted.Store(start.UnixNano())
@@ -23,14 +23,17 @@
 		elapsed, timeout time.Duration
 		want             bool
 	}{
-		{time.Second, 15 * time.Second, false},
-		{2400 * time.Millisecond, 15 * time.Second, false},
+		{0, 15 * time.Second, true},
+		{0, 6500 * time.Millisecond, false},
+		{time.Millisecond, 6500 * time.Millisecond, true},
+		{time.Second, 15 * time.Second, true},
+		{2400 * time.Millisecond, 15 * time.Second, true},
 		{2600 * time.Millisecond, 15 * time.Second, true},
 		{2600 * time.Millisecond, 2 * time.Second, false},
 		{5 * time.Second, 2 * time.Second, true},
 		{5 * time.Second, time.Second, false},
 	} {
-		if got := r.mayOutliveRelay(start.Add(c.elapsed), c.timeout); got != c.want {
+		if got := r.mayOutliveRelay(start.Add(c.elapsed + c.timeout)); got != c.want {
 			t.Errorf("%v after the stop signal, timeout %v: got %v, want %v", c.elapsed, c.timeout, got, c.want)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,7 +44,6 @@
 	tcpUserTimeout  = time.Second             // without an acknowledgement from the backend server
 	idleConnTimeout = 5 * time.Second         // unless the backend server asks for less
 	shutdownMargin  = 1500 * time.Millisecond // between the end of serving and the kill, in which running requests end
-	readinessDelay  = 2500 * time.Millisecond // until the platform's load balancer sees that a relay isn't ready
 )
 
 var (
@@ -204,7 +203,8 @@
 
 // Stop implements kernel.Role. The readiness check fails at once, but the relay
 // keeps serving until shutdownMargin before the end of Settings.GracePeriod, because
-// callers keep using open connections until the process exits.
+// callers keep using open connections until the process exits. From the start it
+// takes only requests that must end by then.
 func (r *Relay) Stop(ctx context.Context) error {
 	r.stopStarted.Store(time.Now().UnixNano())
 	r.stopping.Store(true)
@@ -226,15 +226,16 @@
 	return err
 }
 
-// mayOutliveRelay reports whether a request that arrives now must be refused
-// because it might still be running when the relay exits. No request is refused
-// during readinessDelay, in which the load balancer moves callers to other relays.
-func (r *Relay) mayOutliveRelay(now time.Time, timeout time.Duration) bool {
+// mayOutliveRelay reports whether a request that may take until deadline must be
+// refused because it might still be running when the relay exits. Callers whose
+// requests are refused reach other relays with their next attempt; a stream that is
+// cut is lost.
+func (r *Relay) mayOutliveRelay(deadline time.Time) bool {
 	if !r.stopping.Load() {
 		return false
 	}
-	elapsed, _ := r.stopElapsed(now)
-	return elapsed > readinessDelay && elapsed+timeout > r.settings.GracePeriod.Std()-shutdownMargin
+	end := time.Unix(0, r.stopStarted.Load()).Add(r.settings.GracePeriod.Std() - shutdownMargin)
+	return deadline.After(end)
 }
 
 // stopElapsed returns how long ago Stop was called, and whether it was.
@@ -260,14 +261,14 @@
 	r.upstream.CloseExpired(now)
 }
 
-// isReady reports whether the relay has received routes and is not stopping.
-func (r *Relay) isReady() bool {
+// Ready reports whether the relay has received routes and is not stopping.
+func (r *Relay) Ready() bool {
 	_, known := r.routeView.Version()
 	return known && !r.stopping.Load()
 }
 
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.isReady() {
+	if !r.Ready() {
 		http.Error(w, "not ready", fault.HTTPErrorOf(fault.Unavailable).Status)
 		return
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// retryAfter is the Retry-After time. By then the prefill of late prompts
+	// defaultRetryAfter is the Retry-After time. By then the prefill of late prompts
 	// ahead of the request has finished, and the caller still has most of its
 	// time left.
-	retryAfter = 600 * time.Millisecond
+	defaultRetryAfter = 600 * time.Millisecond
 
 	// startupWait is how long a request may wait for the first routes. Callers give
 	// up a request that isn't read within a second.
@@ -60,14 +60,16 @@
 	if j.route == nil {
 		return fault.New(fault.NotFound, fault.NotRun, "no route for this host and path")
 	}
-	if r.mayOutliveRelay(time.Now(), j.route.Timeout) {
-		return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within its timeout of %v", j.route.Timeout)
-	}
 	info, err := r.dialect.ParseRequest(j.request)
 	if err != nil {
 		return err
 	}
 	j.info = info
+	j.deadline = j.start.Add(j.timeout())
+	if r.mayOutliveRelay(j.deadline) {
+		j.response.retryAfter = 0 // other relays can take the request now
+		return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
+	}
 	if maxBytes := r.routeView.Limits().MaxBodyBytes; maxBytes > 0 {
 		j.request.Body = http.MaxBytesReader(j.response.w, j.request.Body, maxBytes)
 	}
@@ -95,14 +97,18 @@
 	return false
 }
 
-// runOnWorker runs j on a worker of the pool. The deadline is the shorter of the
-// route's timeout and the time that the caller asked for.
-func (r *Relay) runOnWorker(j *job) error {
-	j.deadline = j.start.Add(j.route.Timeout)
-	if j.info.Timeout > 0 && j.info.Timeout < j.route.Timeout {
-		j.deadline = j.start.Add(j.info.Timeout)
+// timeout returns how long the whole response may take: the shorter of the route's
+// timeout and the time that the caller asked for.
+func (j *job) timeout() time.Duration {
+	if j.info.Timeout > 0 {
+		return min(j.info.Timeout, j.route.Timeout)
 	}
-	j.clientRetry = r.retryDetector.isRetry(j.start, j.route.Name, j.deadline.Sub(j.start))
+	return j.route.Timeout
+}
+
+// runOnWorker runs j on a worker of the pool.
+func (r *Relay) runOnWorker(j *job) error {
+	j.clientRetry = r.retryDetector.isRetry(j.start, j.route.Name, j.timeout())
 	_ = j.response.controller.SetWriteDeadline(j.deadline.Add(writeMargin)) // otherwise a caller that doesn't read could block a worker
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
 	defer cancel()
@@ -121,10 +127,11 @@
 	headerSent bool // the header has been written
 	aborted    bool // the response can't be completed any more
 	status     int
+	retryAfter time.Duration // sent with a refusal
 }
 
 func newCallerResponse(w http.ResponseWriter) *callerResponse {
-	return &callerResponse{w: w, controller: http.NewResponseController(w)}
+	return &callerResponse{w: w, controller: http.NewResponseController(w), retryAfter: defaultRetryAfter}
 }
 
 // sendHeader writes the header of a backend server's response.
@@ -161,7 +168,7 @@
 	header := c.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if impliesNotRun(c.status) {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'g', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(c.retryAfter.Seconds(), 'g', 3, 64))
 	}
 	c.headerSent = true
 	c.w.WriteHeader(c.status)
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -26,6 +26,18 @@
 	unread   int      // connections closed without a byte of a response
 }
 
+// stopCall stops a relay in the background.
+type stopCall struct {
+	relay *relay.Relay
+	ended chan error
+}
+
+func (c *stopCall) run(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	c.ended <- c.relay.Stop(ctx)
+}
+
 func (c *stopCaller) run(callers *sync.WaitGroup) {
 	defer callers.Done()
 	for {
@@ -106,3 +118,36 @@
 		t.Errorf("got %d complete answers, want %d, as many as requests that reached the backend server", got, want)
 	}
 }
+
+// TestStreamTakenAfterStopSignal sends a stream that may outlive the relay just after
+// the stop began. The relay must refuse it at once, for another one to take it, rather
+// than begin it and cut it at the end of the grace period. A caller that waits no
+// longer than the relay will run is still served.
+func TestStreamTakenAfterStopSignal(t *testing.T) {
+	server := &backendServer{name: "a", script: []string{
+		streamResponse(event(1), event(2)),
+		streamResponse(event(1), "<pause 3s>", event(2)),
+	}}
+	list := oneRoute(routes.Stream, 1, false)
+	list[0].Timeout = 15 * time.Second
+	b := newTestbed(t, list, server)
+	stopping := b.newRelayWith("stopping", "near", func(s *relay.Settings) { s.GracePeriod = settings.Duration(3 * time.Second) })
+	if err := stopping.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("the relay has received the backend server", func() bool { return stopping.ServerCount("assist") == 1 })
+	stop := &stopCall{relay: stopping, ended: make(chan error, 1)}
+	go stop.run(2800 * time.Millisecond)
+	b.waitFor("the relay is stopping", func() bool { return !stopping.Ready() })
+	got := b.sendTo(stopping, "POST", "/a/", "Deadline-Ms: 500\r\n", "x") + "\n" + b.sendTo(stopping, "POST", "/a/", "", "x")
+	want := `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete` + "\n" + `503 Retry-After=0 "unavailable\n" complete`
+	if got != want {
+		t.Errorf("got responses\n%s\nwant\n%s", got, want)
+	}
+	if got, want := server.requestCount(), 1; got != want {
+		t.Errorf("got %d requests at the backend server, want %d", got, want)
+	}
+	if err := <-stop.ended; err != nil {
+		t.Errorf("stopping the relay: %v", err)
+	}
+}
