Wait for a silent server when no other can take its stream over

Callers of a resumable stream got a truncated response, or a 502 or 504, when their server was silent for 0.9 s and then went on: the relay gave the attempt up in order to resume the stream elsewhere, and found only then that the attempts were used up, the retry budget was empty or no other server was there.

Cause: the stall timers canceled the attempt before it was known whether a retry is allowed. Found while looking for other ways in which a relay itself ends an answer.

The timer now counts the retry against the budget first and cancels only if that is allowed and the service has a server that wasn't tried. Otherwise it keeps waiting, at most until the request's deadline. The two timers, for the start of a stream and for its course, are one type.

TestSilentServerIsWaitedFor: all six cases failed before (truncated, 502, 504).

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,14 +15,6 @@
 	maxResponseBytes  = 4 << 20 // size of a response that is not a stream
 	streamBufferBytes = 8 << 10 // size of the read buffer of a stream
 	maxEventBytes     = 1 << 20 // size of an incomplete event
-
-	// streamStallTimeout is how long a resumable stream may send no event before it
-	// is resumed on another server. Callers wait at least 2 s before they give up.
-	streamStallTimeout = 900 * time.Millisecond
-
-	// stallFactor extends streamStallTimeout for a stream that is slow all along: to
-	// this multiple of its longest pause so far.
-	stallFactor = 3
 )
 
 // responseForwarder forwards the response of one backend server to the caller.
@@ -54,13 +46,13 @@
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
 
-// forwardStream forwards the events of a stream as they arrive. If the stream is
-// resumable and stalls, the request to the server is canceled. Only complete
+// forwardStream forwards the events of a stream as they arrive. If the stream
+// stalls and can be resumed on another server, the request to the server is canceled. Only complete
 // events count as progress: a stalled server may still send a byte now and then.
 // A stream that ends within an event is broken, whatever its framing says.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
-	stall := newStallDetector(j.route.Resumable, f.cancel)
+	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	defer stall.stop()
 	splitter := &eventSplitter{}
 	buf := make([]byte, streamBufferBytes)
@@ -161,37 +153,6 @@
 	return body, err
 }
 
-// stallDetector cancels the request of a resumable stream that sends no event for
-// too long.
-type stallDetector struct {
-	timer        *time.Timer // nil if the stream isn't resumable
-	lastProgress time.Time
-	longestPause time.Duration
-}
-
-func newStallDetector(resumable bool, cancel context.CancelFunc) *stallDetector {
-	d := &stallDetector{lastProgress: time.Now()}
-	if resumable {
-		d.timer = time.AfterFunc(streamStallTimeout, cancel)
-	}
-	return d
-}
-
-// progress records that the stream has sent an event.
-func (d *stallDetector) progress(now time.Time) {
-	d.longestPause = max(d.longestPause, now.Sub(d.lastProgress))
-	d.lastProgress = now
-	if d.timer != nil {
-		d.timer.Reset(max(streamStallTimeout, stallFactor*d.longestPause))
-	}
-}
-
-func (d *stallDetector) stop() {
-	if d.timer != nil {
-		d.timer.Stop()
-	}
-}
-
 // eventSplitter splits a stream of server-sent events into complete events. An
 // event ends with a blank line.
 type eventSplitter struct {
--- a/relay/job.go
+++ b/relay/job.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"endivedeck.example/fault"
@@ -29,11 +30,6 @@
 	// before others and above which it goes behind them.
 	tightSlack = 0.4
 	looseSlack = 0.7
-
-	// startDelayFactor limits the time until a retryable stream begins:
-	// streamStallTimeout plus this multiple of the expected time. Late prompts
-	// can exceed the estimate, since other prompts overtake them.
-	startDelayFactor = 3
 )
 
 // job is the handling of one caller's request.
@@ -56,6 +52,7 @@
 	clientRetry   bool            // the caller retries a request that was refused
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
+	retryCounted  atomic.Bool     // the next retry has been counted against the budget
 	lastEventID   string          // ID of the event after which the stream resumes
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
@@ -114,6 +111,11 @@
 	case j.errorResponse != nil && j.errorResponse.status < http.StatusInternalServerError:
 		return false // the request is invalid; another server would reject it too
 	}
+	return j.retryCounted.Swap(false) || j.countRetry()
+}
+
+// countRetry counts a retry against the budget if that allows it.
+func (j *job) countRetry() bool {
 	return j.relay.retryBudget.TryRetry(time.Now(), j.service, int(j.relay.relayCount.Load()))
 }
 
@@ -294,15 +296,10 @@
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
-	var startTimer *time.Timer
-	if j.route.Kind == routes.Stream && j.route.Retryable() {
-		startTimer = time.AfterFunc(streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
-	}
+	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
 	sentAt := time.Now()
 	resp, err := j.send(ctx, opts)
-	if startTimer != nil {
-		startTimer.Stop()
-	}
+	start.stop()
 	if err != nil {
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
 		if fault.FromError(err).Ran != fault.NotRun {
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -101,7 +101,13 @@
 // the backend servers.
 func (b *testbed) startRelay(name, domain string) *relay.Relay {
 	b.t.Helper()
-	r := b.newRelay(name, domain)
+	return b.startRelayWith(name, domain, func(*relay.Settings) {})
+}
+
+// startRelayWith is startRelay with settings that were changed by adjust.
+func (b *testbed) startRelayWith(name, domain string, adjust func(*relay.Settings)) *relay.Relay {
+	b.t.Helper()
+	r := b.newRelayWith(name, domain, adjust)
 	if err := r.Start(b.t.Context()); err != nil {
 		b.t.Fatal(err)
 	}
