Check for a stop again before a request is sent

Callers whose request arrived before the stop signal of a relay, but whose body was still incomplete or which waited for a worker, got a stream that was begun after the signal and cut at the end of the relay's time. Retries were begun as late as that too.

Cause: whether the relay may take a request was decided once, when its header had been read. The decision is now made again before each attempt, as long as nothing of an answer has been forwarded; then going on is all that is left.

TestStreamBegunAfterStopSignal failed before in both cases (200 and the first event, then a cut; one request at the backend server; the stop timed out).

--- a/relay/job.go
+++ b/relay/job.go
@@ -149,6 +149,11 @@
 // attempt chooses a server and sends the request once. It returns nil if the
 // response was forwarded to the caller.
 func (j *job) attempt() error {
+	if !j.response.headerSent { // otherwise, not going on would cut the stream for certain
+		if err := j.checkStop(); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	request := j.placementRequest(now)
 	choice, err := j.relay.placement.Choose(now, request)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -226,8 +226,8 @@
 	return err
 }
 
-// mayOutliveRelay reports whether a request that may take until deadline must be
-// refused because it might still be running when the relay exits. Callers whose
+// mayOutliveRelay reports whether a request that may take until deadline must not be
+// begun because it might still be running when the relay exits. Callers whose
 // requests are refused reach other relays with their next attempt; a stream that is
 // cut is lost.
 func (r *Relay) mayOutliveRelay(deadline time.Time) bool {
@@ -246,6 +246,9 @@
 	return now.Sub(time.Unix(0, r.stopStarted.Load())), true
 }
 
+// Running returns the number of requests that are being handled.
+func (r *Relay) Running() int { return int(r.running.Load()) }
+
 // Address returns the address on which callers connect.
 func (r *Relay) Address() string { return r.callerServer.Address() }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -66,9 +66,8 @@
 	}
 	j.info = info
 	j.deadline = j.start.Add(j.timeout())
-	if r.mayOutliveRelay(j.deadline) {
-		j.response.retryAfter = 0 // other relays can take the request now
-		return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
+	if err := j.checkStop(); err != nil {
+		return err
 	}
 	if maxBytes := r.routeView.Limits().MaxBodyBytes; maxBytes > 0 {
 		j.request.Body = http.MaxBytesReader(j.response.w, j.request.Body, maxBytes)
@@ -97,6 +96,16 @@
 	return false
 }
 
+// checkStop returns an error if the request must not be begun because the relay is
+// stopping.
+func (j *job) checkStop() error {
+	if !j.relay.mayOutliveRelay(j.deadline) {
+		return nil
+	}
+	j.response.retryAfter = 0 // other relays can take the request now
+	return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
+}
+
 // timeout returns how long the whole response may take: the shorter of the route's
 // timeout and the time that the caller asked for.
 func (j *job) timeout() time.Duration {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -151,3 +151,90 @@
 		t.Errorf("stopping the relay: %v", err)
 	}
 }
+
+// stoppingRelay returns a relay in front of server that has not begun to stop yet, and
+// the call that stops it. Its route allows 15 s.
+func stoppingRelay(t *testing.T, server *backendServer) (*testbed, *relay.Relay, *stopCall) {
+	t.Helper()
+	list := oneRoute(routes.Stream, 1, false)
+	list[0].Timeout = 15 * time.Second
+	b := newTestbed(t, list, server)
+	r := b.newRelayWith("stopping", "near", func(s *relay.Settings) { s.GracePeriod = settings.Duration(3 * time.Second) })
+	if err := r.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.waitFor("the relay has received the backend server", func() bool { return r.ServerCount("assist") == 1 })
+	return b, r, &stopCall{relay: r, ended: make(chan error, 1)}
+}
+
+// TestStreamBegunAfterStopSignal has requests arrive before the stop signal that are
+// ready to be sent only after it: one whose body is still incomplete, and one that waits
+// for a worker. No stream may be begun that the relay can't finish.
+func TestStreamBegunAfterStopSignal(t *testing.T) {
+	t.Run("body incomplete", func(t *testing.T) {
+		server := &backendServer{name: "a", script: []string{streamResponse(event(1), "<pause 4s>", event(2))}}
+		b, r, stop := stoppingRelay(t, server)
+		c, err := net.Dial("tcp", r.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "POST /a/ HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nx")
+		b.waitFor("the relay has read the header", func() bool { return r.Running() == 1 })
+		go stop.run(2800 * time.Millisecond)
+		b.waitFor("the relay is stopping", func() bool { return !r.Ready() })
+		fmt.Fprint(c, "y")
+		checkRefusedAtStop(t, readText(c), server, stop)
+	})
+	t.Run("waiting for a worker", func(t *testing.T) {
+		server := &backendServer{name: "a", script: []string{streamResponse(event(1), "<pause 4s>", event(2))}}
+		b, r, stop := stoppingRelay(t, server)
+		blocked := &blockedTask{release: make(chan struct{})}
+		for range testbedWorkers {
+			if err := b.workers.Submit(blocked); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c, err := net.Dial("tcp", r.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "POST /a/ HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: r1\r\nContent-Length: 1\r\n\r\nx")
+		b.waitFor("the request waits", func() bool { return r.Running() == 1 })
+		go stop.run(2800 * time.Millisecond)
+		b.waitFor("the relay is stopping", func() bool { return !r.Ready() })
+		close(blocked.release)
+		checkRefusedAtStop(t, readText(c), server, stop)
+	})
+}
+
+// checkRefusedAtStop checks that a request was refused, never sent, and that nothing was
+// left to cut at the end of the stop.
+func checkRefusedAtStop(t *testing.T, response string, server *backendServer, stop *stopCall) {
+	t.Helper()
+	if !strings.HasPrefix(response, "HTTP/1.1 503 ") || !strings.HasSuffix(response, "unavailable\n") {
+		t.Errorf("got response %q, want a complete refusal with status 503", response)
+	}
+	if got, want := server.requestCount(), 0; got != want {
+		t.Errorf("got %d requests at the backend server, want %d", got, want)
+	}
+	if err := <-stop.ended; err != nil {
+		t.Errorf("stopping the relay: %v", err)
+	}
+}
+
+// readText returns what arrives on a connection until it is closed.
+func readText(r io.Reader) string {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Sprintf("%s (then %v)", text, err)
+	}
+	return string(text)
+}
+
+// blockedTask keeps a worker busy until it is released.
+type blockedTask struct{ release chan struct{} }
+
+// Run implements pool.Task.
+func (b *blockedTask) Run() { <-b.release }
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -28,6 +28,8 @@
 	"endivedeck.example/wire/memory"
 )
 
+const testbedWorkers = 64 // shared by the relays and the control instance of a testbed
+
 type (
 	// testbed is a relay in front of backend servers on loopback, with a control
 	// instance that sends a given update to each relay.
@@ -77,7 +79,7 @@
 // newTestbedFor is newTestbed with the properties of the service.
 func newTestbedFor(t *testing.T, service routes.Service, list []routes.Route, servers ...*backendServer) *testbed {
 	t.Helper()
-	b := &testbed{t: t, servers: servers, workers: pool.New(64, 64)}
+	b := &testbed{t: t, servers: servers, workers: pool.New(testbedWorkers, testbedWorkers)}
 	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{service}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
 	b.update.RelayAddresses = []string{"relay", "second"}
 	for _, s := range servers {
