Ask placement whether another server can take a silent stream over

A caller's stream was still cut by the relay while its server was only silent, if the only other server of the service was an engine that just prefills, or was in backoff. And a stream was not moved on from a silent server if one that had been tried before had left in the meantime. Both came from comparing the number of servers with the number of those that were tried.

Placement now answers the question by its own rules. The stall timer has a lock, so that one that fires while its attempt ends neither re-arms itself nor counts a retry that is never made.

TestSilentDecoderIsWaitedFor, TestSilentServerAfterOneThatLeft and TestNoRetryCountedAfterAttempt failed before.

--- a/placement/table.go
+++ b/placement/table.go
@@ -115,6 +115,20 @@
 	return t.servers[id] != nil
 }
 
+// HasAlternative reports whether a server that the request doesn't exclude, and that
+// isn't in backoff, could run it to its end.
+func (t *Table) HasAlternative(now time.Time, req Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.byService[req.Service] {
+		prefillOnly := len(req.Prompt) > 0 && s.Stage == roster.Prefill
+		if !req.Excluded[s.ID] && !prefillOnly && !now.Before(s.backoffUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose places a request. It returns a fault.Unavailable error if the service
 // has no server for it, and a fault.Overloaded error if the response would come
 // too late.
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -21,6 +21,7 @@
 	Control    Rank = iota + 1 // control: desired state and waiting calls of operators
 	Lease                      // lease: leases, at the leader and at holders
 	Contract                   // contract: contracts in force at this process
+	Request                    // relay: timers of one request
 	Admission                  // admission: current usage of each limit
 	Fleet                      // fleet: backend servers known to an entry
 	Backend                    // sidecar: state of its backend server, and sent orders
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -6,6 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"endivedeck.example/budget"
+	"endivedeck.example/kernel"
+	"endivedeck.example/placement"
+	"endivedeck.example/roster"
+	"endivedeck.example/routes"
 	"endivedeck.example/settings"
 )
 
@@ -39,6 +44,34 @@
 	}
 }
 
+// TestNoRetryCountedAfterAttempt has the stall timer fire while the attempt ends: it must
+// neither run on nor count a retry that nobody makes.
+func TestNoRetryCountedAfterAttempt(t *testing.T) {
+	r := &Relay{placement: placement.New(), retryBudget: budget.New(budget.Limit{Slack: 100, Window: 10 * time.Second})}
+	r.relayCount.Store(1)
+	r.placement.SetServers([]roster.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}})
+	j := &job{
+		relay: r, service: "s", route: &routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3}, tried: map[string]bool{"a": true},
+		request: httptest.NewRequest("POST", "/a/", nil), deadline: time.Now().Add(time.Hour), start: time.Now(),
+	}
+	r.host = &kernel.Host{}
+	timer := newStallTimer(j, 1, time.Minute, func() {})
+	timer.stop()
+	timer.fire()
+	if timer.timer.Stop() {
+		t.Error("the timer of an attempt that has ended is running")
+	}
+	if j.retryCounted.Load() {
+		t.Error("a retry was counted for an attempt that has ended")
+	}
+	timer = newStallTimer(j, 1, time.Minute, func() {})
+	defer timer.stop()
+	timer.fire()
+	if !j.retryCounted.Load() {
+		t.Error("no retry was counted for an attempt that is running")
+	}
+}
+
 // TestAwaitRoutes checks that a request waits for the first routes of a relay, and not
 // longer than startupWait, so that a refusal reaches its caller in time.
 func TestAwaitRoutes(t *testing.T) {
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -3,16 +3,22 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"endivedeck.example/relay"
+	"endivedeck.example/roster"
 	"endivedeck.example/routes"
 )
 
+const (
+	wholeAnswer = `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete`
+	chatHeader  = "Token-Counts: 100,50\r\nPrompt-Prefix: ab:100\r\n"
+)
+
 // TestSilentServerIsWaitedFor has a backend server that is silent for longer than a
 // stall may last and then goes on. If no other server may take the stream over, its
 // events must reach the caller: giving up would end the response for certain.
 func TestSilentServerIsWaitedFor(t *testing.T) {
-	const complete = `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete`
 	midway := streamResponse(event(1), "<pause 1400ms>", event(2))
 	late := "<pause 1400ms>" + streamResponse(event(1), event(2))
 	for _, c := range []struct {
@@ -37,9 +43,55 @@
 			if c.noRetry {
 				r = b.startRelayWith("strict", "near", func(s *relay.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 })
 			}
-			if got := b.sendTo(r, http.MethodPost, "/a/", "", "x"); got != complete {
-				t.Errorf("got %s, want %s", got, complete)
+			if got := b.sendTo(r, http.MethodPost, "/a/", "", "x"); got != wholeAnswer {
+				t.Errorf("got %s, want %s", got, wholeAnswer)
 			}
 		})
 	}
 }
+
+// TestSilentDecoderIsWaitedFor is TestSilentServerIsWaitedFor for a chat whose only other
+// engine can't generate a response.
+func TestSilentDecoderIsWaitedFor(t *testing.T) {
+	for _, script := range []string{
+		streamResponse(event(1), "<pause 1400ms>", event(2)),
+		"<pause 2500ms>" + streamResponse(event(1), event(2)),
+	} {
+		list := oneRoute(routes.Stream, 2, true)
+		list[0].Timeout, list[0].LatencyObjective = 10*time.Second, 5*time.Second
+		b := newTestbed(t, list,
+			&backendServer{name: "a", stage: roster.Prefill, script: []string{plainResponse(421, "")}},
+			&backendServer{name: "b", stage: roster.Decode, script: []string{script}})
+		if got := b.send(http.MethodPost, "/a/", chatHeader, "x"); got != wholeAnswer {
+			t.Errorf("got %s, want %s", got, wholeAnswer)
+		}
+	}
+}
+
+// TestSilentServerAfterOneThatLeft has the first server of a stream break off and leave,
+// and the second be silent. The third must be asked.
+func TestSilentServerAfterOneThatLeft(t *testing.T) {
+	list := oneRoute(routes.Stream, 3, true)
+	list[0].Timeout = 6 * time.Second
+	first := &backendServer{name: "a", domain: "near", release: make(chan struct{}), script: []string{"<await>" + streamResponse(event(1), "<cut>")}}
+	silent := []*backendServer{{name: "b", domain: "elsewhere", script: []string{"hang"}}, {name: "c", domain: "elsewhere", script: []string{"hang"}}}
+	b := newTestbed(t, list, first, silent[0], silent[1])
+	caller := &streamCaller{testbed: b, response: make(chan string, 1)}
+	go caller.run()
+	b.waitFor("the first server has the request", func() bool { return first.requestCount() == 1 })
+	b.announce(roster.Server{ID: "a", Service: "assist", Address: first.listener.Addr().String(), StartedAt: 1, Seq: 2, Slots: 8, Domain: "near", Draining: true})
+	b.waitFor("the relay knows that it leaves", func() bool { return b.relay.ServerCount("assist") == 2 })
+	close(first.release)
+	got := <-caller.response
+	if silent[0].requestCount()+silent[1].requestCount() != 2 {
+		t.Errorf("got %s and requests\n%swant one at b and one at c", got, b.requestLog())
+	}
+}
+
+// streamCaller sends one request without a prompt.
+type streamCaller struct {
+	testbed  *testbed
+	response chan string
+}
+
+func (c *streamCaller) run() { c.response <- c.testbed.send(http.MethodPost, "/a/", "", "x") }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"maps"
 	"time"
 
+	"endivedeck.example/placement"
+	"endivedeck.example/rank"
 	"endivedeck.example/routes"
 )
 
@@ -30,37 +32,46 @@
 type stallTimer struct {
 	job          *job
 	cancel       context.CancelFunc
-	tried        int          // servers that the request was sent to
-	wait         atomic.Int64 // until the timer fires, in nanoseconds
-	timer        *time.Timer  // nil if the attempt is never canceled
+	request      placement.Request // of the retry
+	timer        *time.Timer       // nil if the attempt is never canceled
 	lastProgress time.Time
 	longestPause time.Duration
+
+	mu      rank.Mutex
+	wait    time.Duration // until the timer fires
+	stopped bool
 }
 
 // newStallTimer returns a running timer. executions is the number of executions of
 // the request if the attempt is canceled.
 func newStallTimer(j *job, executions int, wait time.Duration, cancel context.CancelFunc) *stallTimer {
-	t := &stallTimer{job: j, cancel: cancel, tried: len(j.tried), lastProgress: time.Now()}
+	t := &stallTimer{job: j, cancel: cancel, lastProgress: time.Now(), wait: wait, mu: rank.New(rank.Request)}
 	if j.route.Kind != routes.Stream || !j.route.Retryable() || executions >= j.route.MaxAttempts || j.sends >= j.route.MaxAttempts+extraSends {
 		return t
 	}
-	t.timer = time.AfterFunc(time.Hour, t.fire)
-	t.reset(wait)
+	t.request = j.placementRequest(t.lastProgress)
+	t.request.Excluded = maps.Clone(j.tried)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(wait, t.fire)
 	return t
 }
 
-func (t *stallTimer) reset(wait time.Duration) {
-	t.wait.Store(int64(wait))
-	t.timer.Reset(wait)
-}
-
-// fire cancels the attempt if a retry is allowed. Otherwise it waits again.
+// fire cancels the attempt if a retry is possible and allowed. Otherwise it waits
+// again.
 func (t *stallTimer) fire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
 	j := t.job
-	if j.relay.placement.ServerCount(j.service) <= t.tried || !j.countRetry() {
-		t.timer.Reset(time.Duration(t.wait.Load()))
+	now := time.Now()
+	if j.deadline.Sub(now) < minTimeLeft || !j.relay.placement.HasAlternative(now, t.request) || !j.countRetry() {
+		t.timer.Reset(t.wait)
 		return
 	}
+	t.stopped = true
 	j.retryCounted.Store(true)
 	t.cancel()
 }
@@ -69,13 +80,24 @@
 func (t *stallTimer) progress(now time.Time) {
 	t.longestPause = max(t.longestPause, now.Sub(t.lastProgress))
 	t.lastProgress = now
-	if t.timer != nil {
-		t.reset(max(streamStallTimeout, stallFactor*t.longestPause))
+	if t.timer == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.wait = max(streamStallTimeout, stallFactor*t.longestPause)
+		t.timer.Reset(t.wait)
 	}
 }
 
+// stop ends the timer. No retry is counted after it has returned.
 func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
+	if t.timer == nil {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
 }
