Measure the stop of a relay by the monotonic clock

A time of day that steps back while a relay stops would have let it take streams again that it can't finish, and one that steps forward would have made it refuse everything: the start of the stop was kept as Unix nanoseconds, without the monotonic reading. The start is kept as a time.Time now, which TestMayOutliveRelay covers as before.

--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -22,8 +22,7 @@
 	if r.mayOutliveRelay(start.Add(time.Minute)) {
 		t.Error("a relay that is not stopping refuses a request")
 	}
-	r.stopStarted.Store(start.UnixNano())
-	r.stopping.Store(true)
+	r.stopStarted.Store(&start)
 	for _, c := range []struct {
 		elapsed, timeout time.Duration
 		want             bool
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,8 +87,7 @@
 		metrics       *relayMetrics
 		callerServer  *gate.Server
 		readyServer   *gate.Server
-		stopping      atomic.Bool
-		stopStarted   atomic.Int64 // when Stop was called, in Unix nanoseconds
+		stopStarted   atomic.Pointer[time.Time] // when Stop was called; nil before
 		running       atomic.Int64 // requests being handled
 		relayCount    atomic.Int64 // relays that share the limits, including this one
 		peerListener  wire.Listener
@@ -206,8 +205,8 @@
 // callers keep using open connections until the process exits. From the start it
 // takes only requests that must end by then.
 func (r *Relay) Stop(ctx context.Context) error {
-	r.stopStarted.Store(time.Now().UnixNano())
-	r.stopping.Store(true)
+	start := time.Now()
+	r.stopStarted.Store(&start)
 	r.log.WithField("running", r.running.Load()).WithField("grace", r.settings.GracePeriod.Std().Milliseconds()).Info("stop begins")
 	if wait := r.settings.GracePeriod.Std() - shutdownMargin; wait > 0 {
 		interval.Sleep(ctx, wait)
@@ -231,19 +230,17 @@
 // requests are refused reach other relays with their next attempt; a stream that is
 // cut is lost.
 func (r *Relay) mayOutliveRelay(deadline time.Time) bool {
-	if !r.stopping.Load() {
-		return false
-	}
-	end := time.Unix(0, r.stopStarted.Load()).Add(r.settings.GracePeriod.Std() - shutdownMargin)
-	return deadline.After(end)
+	start := r.stopStarted.Load()
+	return start != nil && deadline.After(start.Add(r.settings.GracePeriod.Std()-shutdownMargin))
 }
 
 // stopElapsed returns how long ago Stop was called, and whether it was.
 func (r *Relay) stopElapsed(now time.Time) (time.Duration, bool) {
-	if !r.stopping.Load() {
+	start := r.stopStarted.Load()
+	if start == nil {
 		return 0, false
 	}
-	return now.Sub(time.Unix(0, r.stopStarted.Load())), true
+	return now.Sub(*start), true
 }
 
 // Running returns the number of requests that are being handled.
@@ -267,7 +264,7 @@
 // Ready reports whether the relay has received routes and is not stopping.
 func (r *Relay) Ready() bool {
 	_, known := r.routeView.Version()
-	return known && !r.stopping.Load()
+	return known && r.stopStarted.Load() == nil
 }
 
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -32,7 +32,7 @@
 	start := time.Now()
 	r.running.Add(1)
 	defer r.running.Add(-1)
-	if r.stopping.Load() {
+	if r.stopStarted.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{relay: r, request: req, response: newCallerResponse(w), start: start, tried: map[string]bool{}}
