Report a stop that ran out of time as failed only if it cut a response

The log of a stopping relay said that responses were cut, and its process ended with exit code 1, when all that was left was a connection on which a caller had sent nothing: http.Server.Shutdown waits up to 5 s for the first request of one. On-call engineers take that line as evidence.

The line and the error now have the number of requests still running, and there is neither if that is 0. TestStopWithUnusedConnection failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,8 +88,8 @@
 		callerServer  *gate.Server
 		readyServer   *gate.Server
 		stopStarted   atomic.Pointer[time.Time] // when Stop was called; nil before
-		running       atomic.Int64 // requests being handled
-		relayCount    atomic.Int64 // relays that share the limits, including this one
+		running       atomic.Int64              // requests being handled
+		relayCount    atomic.Int64              // relays that share the limits, including this one
 		peerListener  wire.Listener
 		peerServer    *wire.Server
 		ctx           context.Context
@@ -211,11 +211,7 @@
 	if wait := r.settings.GracePeriod.Std() - shutdownMargin; wait > 0 {
 		interval.Sleep(ctx, wait)
 	}
-	err := r.callerServer.Stop(ctx)
-	if err != nil {
-		err = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "stop timed out: responses that were still running were cut: %v", err)
-		r.log.WithField("error", fault.FromError(err).Message).Warn("stop timed out")
-	}
+	err := r.stopServing(ctx)
 	_ = r.readyServer.Stop(ctx)
 	r.cancel()
 	r.peerServer.Close()
@@ -225,6 +221,18 @@
 	return err
 }
 
+// stopServing ends the server for callers. A stop that runs out of time is an error only
+// if it cuts a response: a connection without a request holds it up as well.
+func (r *Relay) stopServing(ctx context.Context) error {
+	err := r.callerServer.Stop(ctx)
+	running := r.running.Load()
+	if err == nil || running == 0 {
+		return nil
+	}
+	r.log.WithField("running", running).WithField("error", err.Error()).Warn("stop timed out: responses cut")
+	return fault.New(fault.DeadlineExceeded, fault.MaybeRun, "stop timed out: %d responses that were still running were cut: %v", running, err)
+}
+
 // mayOutliveRelay reports whether a request that may take until deadline must not be
 // begun because it might still be running when the relay exits. Callers whose
 // requests are refused reach other relays with their next attempt; a stream that is
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -238,3 +238,18 @@
 
 // Run implements pool.Task.
 func (b *blockedTask) Run() { <-b.release }
+
+// TestStopWithUnusedConnection has a caller connect and send nothing before the relay
+// stops. The stop cuts no response and must not count as failed.
+func TestStopWithUnusedConnection(t *testing.T) {
+	_, r, stop := stoppingRelay(t, &backendServer{name: "a", script: []string{plainResponse(200, "good")}})
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go stop.run(2 * time.Second)
+	if err := <-stop.ended; err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+}
