Log the parts of a request's prompt and the server that ended under it

Callers saw 503 while servers ended one after the other, and no log line told which requests had been in flight at each end without an answer, or what they had in common. A request's line has `parts`, and `ended` if a server broke the connection before any part of the answer came; relay_ended_total counts these.

--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -89,3 +89,13 @@
 	Failed                         // the request failed after it ran or may have run
 	NotRun                         // the request has not run and will not
 )
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may
+// share. The last part belongs to the request alone.
+func (i *RequestInfo) sharedParts() []uint64 {
+	var ids []uint64
+	for _, part := range i.Prompt[:max(len(i.Prompt)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -33,6 +33,7 @@
 	class  ResponseClass
 	sentAt time.Time
 	cancel context.CancelFunc
+	begun  bool // a part of the answer has been received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -43,7 +44,9 @@
 	elapsed := time.Since(f.sentAt)
 	if err != nil {
 		f.endTicket(placement.NoResponse, elapsed)
-		return fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		err = fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		j.recordServerEnd(f.ticket, err)
+		return err
 	}
 	if f.class == Failed {
 		f.endTicket(placement.Failed, elapsed)
@@ -93,6 +96,7 @@
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
+	f.begun = true
 	if j.timeToFirstByte == 0 {
 		j.timeToFirstByte = time.Since(j.start)
 		f.ticket.ResponseBegun(time.Now(), time.Since(f.sentAt))
@@ -126,6 +130,9 @@
 	if j.ctx.Err() != nil {
 		streamErr = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "deadline passed or request canceled while streaming from backend server %s", f.ticket.Server.ID)
 	}
+	if !f.begun {
+		j.recordServerEnd(f.ticket, streamErr)
+	}
 	if !j.response.headerSent {
 		return streamErr
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -45,6 +45,12 @@
 	if j.info.PromptTokens > 0 {
 		fields["tokens"] = j.info.PromptTokens
 	}
+	if parts := j.info.sharedParts(); len(parts) > 0 {
+		fields["parts"] = formatParts(parts)
+	}
+	if j.endedServerID != "" {
+		fields["ended"] = j.endedServerID
+	}
 	if j.prefillServerID != "" {
 		fields["reader"] = j.prefillServerID
 		fields["read"] = j.prefillTime.Milliseconds()
@@ -62,8 +68,12 @@
 func (j *job) logRetry(err error) {
 	e := fault.FromError(err)
 	j.relay.metrics.countRetry(string(e.Kind))
-	j.relay.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": j.info.ID, "server": j.serverID, "sends": j.sends, "runs": j.executions,
 		"kind": e.Kind, "ran": e.Ran, "error": e.Message, "left": time.Until(j.deadline).Milliseconds(),
-	}).Info("request is sent again")
+	}
+	if j.endedServerID == j.serverID {
+		fields["ended"] = j.endedServerID
+	}
+	j.relay.log.WithFields(fields).Info("request is sent again")
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -31,6 +31,12 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_whole_seconds{kind=%q}`, kind)).Update(total.Seconds())
 }
 
+// countServerEnd counts a request whose connection a server of the service broke
+// before it sent any part of the answer.
+func (m *relayMetrics) countServerEnd(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_ended_total{service=%q}`, service)).Inc()
+}
+
 func (m *relayMetrics) countRetry(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_again_total{reason=%q}`, reason)).Inc()
 }
