Quarantine prompt parts that crash servers

Cause: a relay judges a broken connection as a fault of the server alone. Nothing linked an end to what the requests in flight had in common, and nothing told the other relays.

Change: package internal/prompts/quarantine judges parts by the server ends under which they waited, unbroken by an answer that began. Requests with a quarantined part are rejected as not run, with the time until the next trial; one relay lets one through after 30 s, doubled with each that fails. A request that ended a server isn't sent again while a part of it is suspect.

TestPromptPartCrashesServers failed before: 8 of 8 servers ended, want at most 5, and 108 of 120 sound requests got 503.

--- /dev/null
+++ b/internal/prompts/quarantine/exchange.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+type (
+	// Evidence is what a relay tells other relays about a part.
+	Evidence struct {
+		Part   uint64        `cbor:"1,keyasint"`
+		Depth  int           `cbor:"2,keyasint"`           // greatest index in a prompt
+		Ends   []End         `cbor:"3,keyasint,omitempty"` // since Begun
+		Begun  time.Duration `cbor:"4,keyasint,omitempty"` // time since an answer last began; 0 if none has
+		Trials int           `cbor:"5,keyasint,omitempty"` // that failed
+		Others int           `cbor:"6,keyasint,omitempty"` // answers to other requests that began between the ends
+	}
+
+	// End is the end of a server under a request that waited for its answer.
+	End struct {
+		Server    uint64        `cbor:"1,keyasint"` // hash of the ID
+		StartedAt int64         `cbor:"2,keyasint"` // start of the server, Unix milliseconds
+		Age       time.Duration `cbor:"3,keyasint"`
+	}
+)
+
+// Changes returns the evidence that has changed after sequence number since, the
+// oldest change first, and the sequence number to pass in the next call.
+func (t *Table) Changes(now time.Time, since uint64) ([]Evidence, uint64) {
+	if t.size.Load() == 0 {
+		return nil, since
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []*part
+	for _, p := range t.parts {
+		if p.changed > since {
+			changed = append(changed, p)
+		}
+	}
+	if len(changed) == 0 {
+		return nil, t.seq
+	}
+	slices.SortFunc(changed, func(a, b *part) int { return cmp.Compare(a.changed, b.changed) })
+	next := t.seq
+	if len(changed) > maxEvidence {
+		changed = changed[:maxEvidence]
+		next = changed[maxEvidence-1].changed
+	}
+	list := make([]Evidence, 0, len(changed))
+	for _, p := range changed {
+		list = append(list, p.evidence(now))
+	}
+	return list, next
+}
+
+// Snapshot returns the evidence against all quarantined parts and the selected other
+// ones, for a relay that has just started, and the sequence number to pass to Changes.
+func (t *Table) Snapshot(now time.Time, selected func(part uint64) bool) ([]Evidence, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Evidence
+	for id, p := range t.parts {
+		if p.state == Quarantined || len(p.ends) > 0 && selected(id) {
+			list = append(list, p.evidence(now))
+		}
+	}
+	slices.SortFunc(list, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Part, b.Part))
+	})
+	return list[:min(len(list), maxEvidence)], t.seq
+}
+
+func (p *part) evidence(now time.Time) Evidence {
+	e := Evidence{Part: p.id, Depth: p.depth, Trials: p.trials, Others: p.others}
+	if !p.begunAt.IsZero() {
+		e.Begun = max(now.Sub(p.begunAt), 1)
+	}
+	for end, record := range p.ends {
+		e.Ends = append(e.Ends, End{Server: end.server, StartedAt: end.startedAt, Age: max(now.Sub(record.at), 0)})
+	}
+	slices.SortFunc(e.Ends, func(a, b End) int {
+		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Server, b.Server))
+	})
+	return e
+}
+
+// Merge adds the evidence of another relay and reports whether other relays are to
+// be told something. Lists and values that no relay sends are cut or left out.
+func (t *Table) Merge(now time.Time, list []Evidence) bool {
+	if len(list) == 0 {
+		return false
+	}
+	list = list[:min(len(list), maxEvidence)]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	told := t.seq
+	for _, e := range list {
+		t.merge(now, e)
+	}
+	t.judge()
+	for _, e := range list {
+		// A verdict needs no message if the sender knows all that it rests on.
+		if p := t.parts[e.Part]; p != nil && p.changed > told && p.state == Quarantined && len(e.Ends) >= len(p.ends) && e.Others >= minOthers {
+			p.changed = 0
+		}
+	}
+	return slices.ContainsFunc(list, func(e Evidence) bool {
+		p := t.parts[e.Part]
+		return p != nil && p.changed > told
+	})
+}
+
+func (t *Table) merge(now time.Time, e Evidence) {
+	p := t.parts[e.Part]
+	if p == nil {
+		if len(e.Ends) == 0 {
+			return
+		}
+		p = t.add(e.Part)
+	}
+	if e.Depth >= 0 && e.Depth <= maxDepth {
+		p.depth = max(p.depth, e.Depth)
+	}
+	if e.Begun > 0 && e.Begun <= evidenceTTL {
+		t.clear(p, now.Add(-e.Begun))
+	}
+	outdated := 0
+	for _, end := range e.Ends[:min(len(e.Ends), maxEnds)] {
+		if end.Age < 0 || end.Age > evidenceTTL+maxPause {
+			continue
+		}
+		at := now.Add(-end.Age)
+		started := serverStart{server: end.Server, startedAt: end.StartedAt}
+		t.addEnd(started, at)
+		if !at.After(p.begunAt) {
+			outdated++
+			continue
+		}
+		p.addEnd(started, endRecord{at: at, begun: t.begun.Load()})
+	}
+	if outdated >= minSuspectEnds {
+		t.tell(p) // the sender doesn't know that an answer has begun since then
+	}
+	if len(p.ends) > 0 {
+		p.trials = max(p.trials, min(max(e.Trials, 0), maxTrials))
+		p.others = max(p.others, min(max(e.Others, 0), maxOthers))
+	}
+}
--- /dev/null
+++ b/internal/prompts/quarantine/judge.go
@@ -0,0 +1,118 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// datedEnd is a server's end and the time at which it was noticed.
+type datedEnd struct {
+	serverStart
+	at time.Time
+}
+
+// judge determines the state of all parts. The part with the most ends comes first,
+// and of several with as many the one that is deepest in its prompts, which fewer
+// requests share. What a quarantined part explains isn't held against the others.
+func (t *Table) judge() {
+	t.size.Store(int32(len(t.parts)))
+	order := make([]*part, 0, len(t.parts))
+	unexplained := maps.Clone(t.ends)
+	for _, p := range t.parts {
+		order = append(order, p)
+		for end, record := range p.ends {
+			unexplained[end] = record.at
+		}
+	}
+	slices.SortFunc(order, compareEvidence)
+	times := sortedTimes(unexplained)
+	for _, p := range order {
+		before := p.state
+		ends := p.endsAmong(unexplained)
+		t.setState(p, p.stateFor(ends, times))
+		if p.state != Quarantined {
+			continue
+		}
+		if before != Quarantined {
+			t.tell(p)
+		}
+		for _, end := range ends {
+			delete(unexplained, end.serverStart)
+		}
+		times = sortedTimes(unexplained)
+	}
+}
+
+// compareEvidence orders parts by their number of ends, most first.
+func compareEvidence(a, b *part) int {
+	return cmp.Or(cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.id, b.id))
+}
+
+func sortedTimes(ends map[serverStart]time.Time) []time.Time {
+	return slices.SortedFunc(maps.Values(ends), time.Time.Compare)
+}
+
+// endsAmong returns those ends of the part that are in unexplained, oldest first.
+func (p *part) endsAmong(unexplained map[serverStart]time.Time) []datedEnd {
+	var ends []datedEnd
+	for end, record := range p.ends {
+		if _, ok := unexplained[end]; ok {
+			ends = append(ends, datedEnd{end, record.at})
+		}
+	}
+	slices.SortFunc(ends, func(a, b datedEnd) int { return a.at.Compare(b.at) })
+	return ends
+}
+
+// stateFor returns the state of the part with the given ends, oldest first, where
+// times holds the times of all ends that no quarantined part explains. The evidence
+// suffices if it did for any run of the ends: those before and after it may have other
+// causes.
+func (p *part) stateFor(ends []datedEnd, times []time.Time) State {
+	if countMoments(ends) < minSuspectEnds {
+		return Sound
+	}
+	if p.others < minOthers {
+		return Suspect
+	}
+	for first := range ends {
+		for after := first + minEnds; after <= len(ends); after++ {
+			if suffices(ends[first:after], times) {
+				return Quarantined
+			}
+		}
+	}
+	return Suspect
+}
+
+// suffices reports whether a run of ends shows that the part causes them.
+func suffices(run []datedEnd, times []time.Time) bool {
+	servers := map[uint64]bool{}
+	for _, end := range run {
+		servers[end.server] = true
+	}
+	moments := countMoments(run)
+	if len(servers) < minServers && moments < minEndsOneServer {
+		return false
+	}
+	from, _ := slices.BinarySearchFunc(times, run[0].at, time.Time.Compare)
+	until, _ := slices.BinarySearchFunc(times, run[len(run)-1].at.Add(1), time.Time.Compare)
+	foreign := until - from - len(run)
+	return moments >= minEnds+foreign/foreignPerEnd
+}
+
+// countMoments returns the number of ends, oldest first, where ends at the same moment
+// count as one.
+func countMoments(ends []datedEnd) int {
+	moments := 0
+	var counted time.Time
+	for _, end := range ends {
+		if moments == 0 || end.at.Sub(counted) >= sameMoment {
+			moments++
+			counted = end.at
+		}
+	}
+	return moments
+}
--- a/interval/interval.go
+++ b/interval/interval.go
@@ -32,3 +32,17 @@
 		}
 	}
 }
+
+// SleepUntil is like Sleep, but returns true early once woken is closed.
+func SleepUntil(ctx context.Context, d time.Duration, woken <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/message/message.go
+++ b/message/message.go
@@ -10,6 +10,7 @@
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/order"
 	"endivedeck.example/placement"
 	"endivedeck.example/quorum"
@@ -169,6 +170,7 @@
 
 		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
+		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
 	}
 
 	// RelayUpdate is an update for a relay. Servers is always the complete list.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -53,6 +53,7 @@
 		j.errorResponse = &errorResponse{status: f.resp.Status, header: f.resp.Header, body: body}
 		return fault.New(fault.Broken, fault.HasRun, "backend server %s responded with status %d", f.ticket.Server.ID, f.resp.Status)
 	}
+	j.recordBegun()
 	f.endTicket(placement.Succeeded, elapsed)
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
@@ -96,7 +97,10 @@
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
-	f.begun = true
+	if !f.begun {
+		f.begun = true
+		j.recordBegun()
+	}
 	if j.timeToFirstByte == 0 {
 		j.timeToFirstByte = time.Since(j.start)
 		f.ticket.ResponseBegun(time.Now(), time.Since(f.sentAt))
--- a/relay/job.go
+++ b/relay/job.go
@@ -42,6 +42,7 @@
 	request       *http.Request
 	response      *callerResponse
 	info          RequestInfo
+	parts         []uint64 // of the prompt that other requests may share
 	route         *routes.Route
 	routesVersion uint64
 	body          []byte
@@ -57,6 +58,8 @@
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
 	lastEventID   string          // ID of the event after which the stream resumes
+	trial         bool            // the request tries a quarantined part of a prompt
+	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
@@ -81,6 +84,7 @@
 // or no retry is allowed.
 func (j *job) serve() error {
 	j.lastEventID = j.info.LastEventID
+	j.parts = j.info.sharedParts()
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
 		err := j.attempt()
@@ -110,6 +114,8 @@
 		return false
 	case j.sends >= j.route.MaxAttempts+extraSends:
 		return false
+	case j.quarantined, j.repeatsServerEnd(time.Now()):
+		return false
 	case e.Ran != fault.NotRun && (!j.route.Retryable() || j.executions >= j.route.MaxAttempts):
 		return false
 	case j.errorResponse != nil && j.errorResponse.status < http.StatusInternalServerError:
@@ -149,6 +155,9 @@
 // response was forwarded to the caller.
 func (j *job) attempt() error {
 	now := time.Now()
+	if err := j.checkParts(now); err != nil {
+		return err
+	}
 	request := j.placementRequest(now)
 	choice, err := j.relay.placement.Choose(now, request)
 	if err != nil {
@@ -170,6 +179,11 @@
 			j.releaseKV(opts)
 			return err
 		}
+		if err := j.checkParts(time.Now()); err != nil {
+			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Canceled})
+			j.releaseKV(opts)
+			return err
+		}
 	}
 	return j.execute(choice.Runner, opts)
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -45,8 +45,8 @@
 	if j.info.PromptTokens > 0 {
 		fields["tokens"] = j.info.PromptTokens
 	}
-	if parts := j.info.sharedParts(); len(parts) > 0 {
-		fields["parts"] = formatParts(parts)
+	if len(j.parts) > 0 {
+		fields["parts"] = formatParts(j.parts)
 	}
 	if j.endedServerID != "" {
 		fields["ended"] = j.endedServerID
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/routes"
 )
 
@@ -20,6 +21,7 @@
 		return float64(version)
 	})
 	set.NewGauge("relay_connections_opened_total", func() float64 { return float64(r.upstream.DialCount()) })
+	set.NewGauge("relay_quarantined_parts", func() float64 { return float64(r.quarantine.Count(quarantine.Quarantined)) })
 	return &relayMetrics{set: set}
 }
 
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -84,21 +84,25 @@
 	inserts, listings := p.relay.placement.CacheSnapshot(p.relay.share())
 	lastEmpty := true
 	var next uint64 // sequence number of the next cache insertion to report
+	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
 	for {
+		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
 		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads()}
 		loads.CacheInserts, next = p.relay.placement.CacheInserts(next)
 		loads.CacheListings, nextListing = p.relay.cacheSurvey.since(nextListing)
 		loads.CacheInserts = append(inserts, loads.CacheInserts...)
 		loads.CacheListings = append(listings, loads.CacheListings...)
-		inserts, listings = nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings) > 0 || !lastEmpty {
+		loads.Evidence, nextEvidence = p.relay.quarantine.Changes(time.Now(), nextEvidence)
+		loads.Evidence = append(evidence, loads.Evidence...)
+		inserts, listings, evidence = nil, nil, nil
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
 		}
 		lastEmpty = len(loads.Servers) == 0
-		if !interval.Sleep(ctx, p.relay.loadsInterval()) {
+		if !interval.SleepUntil(ctx, p.relay.loadsInterval(), woken) {
 			return nil
 		}
 	}
@@ -116,6 +120,13 @@
 	return func(serverID string) bool { return shard.Owner(relays, serverID) == r.settings.PeerListen }
 }
 
+// sharesPart returns a function that reports whether a part of prompts is in this
+// relay's share of them.
+func (r *Relay) sharesPart() func(part uint64) bool {
+	shares := r.share()
+	return func(part uint64) bool { return shares(partKey(part)) }
+}
+
 // loadsInterval returns the interval between load messages to one relay.
 func (r *Relay) loadsInterval() time.Duration {
 	return max(minLoadsInterval, time.Duration(r.relayCount.Load())*time.Second/maxLoadsPerSecond)
@@ -134,5 +145,9 @@
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
+		if len(loads.Evidence) > 0 {
+			r.evidence.notify(r.quarantine.Merge(time.Now(), loads.Evidence))
+			r.logTransitions()
+		}
 	}
 }
--- /dev/null
+++ b/relay/quarantine_test.go
@@ -0,0 +1,94 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"endivedeck.example/relay"
+	"endivedeck.example/roster"
+	"endivedeck.example/routes"
+)
+
+// peerWait is how long relays take to find another one that has just started.
+const peerWait = time.Second
+
+// crashCount returns how many requests have ended a server.
+func (b *testbed) crashCount() int {
+	return strings.Count(b.requestLog(), " crash")
+}
+
+// announceEnds announces that the servers that have ended are gone.
+func (b *testbed) announceEnds() {
+	b.t.Helper()
+	for _, s := range b.servers {
+		s.mu.Lock()
+		ended := s.ended
+		s.mu.Unlock()
+		if ended {
+			b.announce(roster.Server{ID: s.name, Service: "assist", Address: s.listener.Addr().String(), StartedAt: 1, Seq: 2, Departed: true})
+		}
+	}
+}
+
+// newCrashTestbed starts servers that crash on the part "bad" of a prompt.
+func newCrashTestbed(t *testing.T, servers int) *testbed {
+	var list []*backendServer
+	for i := range servers {
+		list = append(list, &backendServer{name: fmt.Sprintf("s%d", i), crashOn: "bad:", script: []string{streamResponse(event(1))}})
+	}
+	b := newTestbed(t, oneRoute(routes.Stream, 2, true), list...)
+	b.mu.Lock()
+	b.update.RelayAddresses = []string{"relay", "second", "third"}
+	b.mu.Unlock()
+	return b
+}
+
+// TestPromptPartCrashesServers sends requests with a part that crashes servers to
+// three relays. No two are alike, and sound requests share their other parts. The
+// relays must reject the former before more than a few servers have ended, and a relay
+// that starts later must reject them at once. Sound requests must be served.
+func TestPromptPartCrashesServers(t *testing.T) {
+	const (
+		maxCrashes  = 5
+		soundPerBad = 4
+	)
+	b := newCrashTestbed(t, 8)
+	relays := []*relay.Relay{b.relay, b.startRelay("second", "near")}
+	<-time.After(peerWait)
+	rejected := 0
+	for i := range 30 {
+		r := relays[i%len(relays)]
+		got := b.sendTo(r, http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 900,2\r\nPrompt-Prefix: first:200,second:300,bad:100,last%d:300\r\n", i), "x")
+		if strings.HasPrefix(got, "503 Retry-After=") {
+			rejected++
+		}
+		for k := range soundPerBad {
+			if got := b.sendTo(r, http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 900,2\r\nPrompt-Prefix: first:200,other%d-%d:300,last:400\r\n", i, k), "x"); !strings.HasPrefix(got, "200 ") {
+				t.Errorf("round %d: got %s for a sound request, want status 200", i, got)
+			}
+		}
+		b.announceEnds()
+		<-time.After(60 * time.Millisecond)
+	}
+	if got := b.crashCount(); got > maxCrashes {
+		t.Errorf("got %d servers ended, want at most %d", got, maxCrashes)
+	}
+	if want := 20; rejected < want {
+		t.Errorf("got %d requests of 30 rejected, want at least %d", rejected, want)
+	}
+	if got := b.send(http.MethodPost, "/a/", "Token-Counts: 900,2\r\nPrompt-Prefix: first:200,second:300,last:400\r\n", "x"); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("got %s for a request with both parts before the quarantined one, want status 200", got)
+	}
+	before := b.crashCount()
+	third := b.startRelay("third", "near")
+	<-time.After(peerWait)
+	if got := b.sendTo(third, http.MethodPost, "/a/", "Token-Counts: 900,2\r\nPrompt-Prefix: first:200,second:300,bad:100,last:300\r\n", "x"); !strings.HasPrefix(got, "503 Retry-After=") {
+		t.Errorf("got %s at a relay that has just started, want status 503", got)
+	}
+	if got := b.crashCount(); got != before {
+		t.Errorf("got %d more servers ended under a relay that has just started, want none", got-before)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/interval"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
@@ -84,6 +85,8 @@
 		retryDetector *retryDetector
 		retryBudget   *budget.Budget
 		cacheSurvey   *cacheSurvey
+		quarantine    *quarantine.Table
+		evidence      *evidenceExchange
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
@@ -154,6 +157,7 @@
 		roster:        roster.New(settings.SilenceTimeout.Std()),
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
+		quarantine:    quarantine.New(),
 		retryBudget: budget.New(budget.Limit{
 			Ratio:  settings.RetryRatio,
 			Slack:  settings.RetrySlack,
@@ -168,6 +172,7 @@
 	}
 	r.relayCount.Store(1)
 	r.cacheSurvey = newCacheSurvey(r)
+	r.evidence = newEvidenceExchange(r)
 	r.metrics = newRelayMetrics(host.Metrics, r)
 	return r, nil
 }
@@ -178,9 +183,10 @@
 		message.MethodLoads: wire.HandlerFunc(r.receiveLoads),
 	})
 	r.subscribeToControls(r.settings.Control)
-	r.tasks.Add(2)
+	r.tasks.Add(3)
 	go r.run()
 	go r.cacheSurvey.run(r.ctx)
+	go r.evidence.run(r.ctx)
 	ready, err := gate.New(r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
 	if err != nil {
 		return err
@@ -244,6 +250,8 @@
 func (r *Relay) sweep(now time.Time) {
 	r.placement.SetServers(r.roster.Servers(now))
 	r.upstream.CloseExpired(now)
+	r.quarantine.Expire(now)
+	r.logTransitions()
 }
 
 // isReady reports whether the relay has received routes and is not stopping.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -119,10 +119,11 @@
 	headerSent bool // the header has been written
 	aborted    bool // the response can't be completed any more
 	status     int
+	retryAfter time.Duration // of an error response that says that the request has not run
 }
 
 func newCallerResponse(w http.ResponseWriter) *callerResponse {
-	return &callerResponse{w: w, controller: http.NewResponseController(w)}
+	return &callerResponse{w: w, controller: http.NewResponseController(w), retryAfter: retryAfter}
 }
 
 // sendHeader writes the header of a backend server's response.
@@ -159,7 +160,7 @@
 	header := c.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if impliesNotRun(c.status) {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'g', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(c.retryAfter.Seconds(), 'g', 3, 64))
 	}
 	c.headerSent = true
 	c.w.WriteHeader(c.status)
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -56,11 +56,14 @@
 		stage    roster.Stage
 		domain   string
 		script   []string
+		crashOn  string // part of a prompt on which the server ends within the first event of its answer
 		release  chan struct{}
 		listener net.Listener
 
 		mu           sync.Mutex
 		nextIndex    int
+		conns        []net.Conn
+		ended        bool // the server has ended on crashOn
 		requests     []string
 		disconnected chan struct{} // closed when the client disconnects during "hang"
 		once         sync.Once
@@ -259,10 +262,24 @@
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
 		go s.loop(c)
 	}
 }
 
+// end closes the listener and all connections.
+func (s *backendServer) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.listener.Close()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 // loop follows the script for the requests on one connection.
 func (s *backendServer) loop(c net.Conn) {
 	defer c.Close()
@@ -279,6 +296,10 @@
 		switch step {
 		case "drop":
 			return
+		case "crash":
+			_, _ = io.WriteString(c, streamResponse("id: 1\nda", "<cut>"))
+			s.end()
+			return
 		case "hang":
 			_, _ = in.ReadByte() // returns when the client disconnects
 			s.once.Do(func() { close(s.disconnected) })
@@ -337,6 +358,10 @@
 	if got := r.Header.Get("Target-Instance"); got != s.name && r.Method != http.MethodDelete && !strings.HasPrefix(r.RequestURI, "/-/") {
 		line += " for " + got
 	}
+	if s.crashOn != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), s.crashOn) {
+		s.requests = append(s.requests, line+" crash")
+		return "crash"
+	}
 	s.requests = append(s.requests, line)
 	step := s.script[min(s.nextIndex, len(s.script)-1)]
 	s.nextIndex++
