Judge server ends 20 ms apart, bound the parts of a prompt, tell reconnected relays

Ends 20 ms apart count now; a rack that is lost at once is told by its ends under requests without the part.

Parts beyond the 32nd of a prompt are neither logged nor judged, since callers choose their number. A relay whose call to another one broke tells it again what it has told the rest.

--- a/internal/prompts/quarantine/exchange.go
+++ b/internal/prompts/quarantine/exchange.go
@@ -55,14 +55,15 @@
 	return list, next
 }
 
-// Snapshot returns the evidence against all quarantined parts and the selected other
-// ones, for a relay that has just started, and the sequence number to pass to Changes.
+// Snapshot returns the evidence for a relay that has just started or was out of reach:
+// against all quarantined parts, what this relay has told others, and the selected rest.
+// It also returns the sequence number to pass to Changes.
 func (t *Table) Snapshot(now time.Time, selected func(part uint64) bool) ([]Evidence, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Evidence
 	for id, p := range t.parts {
-		if p.state == Quarantined || len(p.ends) > 0 && selected(id) {
+		if p.state == Quarantined || p.changed > 0 || len(p.ends) > 0 && selected(id) {
 			list = append(list, p.evidence(now))
 		}
 	}
--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -42,7 +42,7 @@
 	minOthers        = 3 // answers to other requests that began meanwhile
 	minSuspectEnds   = 2 // for a suspicion
 	foreignPerEnd    = 2 // ends meanwhile under requests without the part that demand one more end
-	sameMoment       = 50 * time.Millisecond
+	sameMoment       = 20 * time.Millisecond
 
 	firstPause = 30 * time.Second // from the last end to the first trial; doubles with each trial that fails
 	maxPause   = 10 * time.Minute
--- a/interval/interval.go
+++ b/interval/interval.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// SleepUntil is like Sleep, but returns true early once woken is closed.
+// SleepUntil is like Sleep, but returns true early when woken is closed.
 func SleepUntil(ctx context.Context, d time.Duration, woken <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -10,6 +10,10 @@
 	"endivedeck.example/upstream"
 )
 
+// maxSharedParts is how many parts of a prompt are logged and judged; callers choose
+// their number.
+const maxSharedParts = 32
+
 // Dialects holds the registered dialects by name.
 var Dialects = kernel.NewRegistry[Dialect]("dialect of requests")
 
@@ -91,10 +95,11 @@
 )
 
 // sharedParts returns the IDs of the parts of the prompt that other requests may
-// share. The last part belongs to the request alone.
+// share, at most maxSharedParts. The last part belongs to the request alone.
 func (i *RequestInfo) sharedParts() []uint64 {
-	var ids []uint64
-	for _, part := range i.Prompt[:max(len(i.Prompt)-1, 0)] {
+	n := min(max(len(i.Prompt)-1, 0), maxSharedParts)
+	ids := make([]uint64, 0, n)
+	for _, part := range i.Prompt[:n] {
 		ids = append(ids, part.ID)
 	}
 	return ids
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	evidenceDelay    = 20 * time.Millisecond // in which evidence is collected; the end of one server breaks many requests
+	evidenceDelay    = 10 * time.Millisecond // in which evidence is collected; the end of one server breaks many requests
 	evidenceInterval = 80 * time.Millisecond // at least, until evidence is sent again
 	maxRetryAfter    = time.Minute           // a caller isn't sent away for longer
 )
