Don't take a stream that the relay itself canceled for a server's end

Callers could have been refused for a sound part: a relay cancels a resumable stream that stalls, and counted the connection that it closed as the end of the server if no event had come. Cause: the check looked at the caller's context, not at that of the send. TestOwnCancelIsNoServerEnd failed before (evidence about 2 parts, want 0). Found by reading.

--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -1,11 +1,18 @@
 package relay
 
 import (
+	"context"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/internal/prompts/quarantine"
+	"endivedeck.example/placement"
+	"endivedeck.example/roster"
 	"endivedeck.example/settings"
 )
 
@@ -102,3 +109,31 @@
 		}
 	})
 }
+
+// TestOwnCancelIsNoServerEnd checks which failures count as the end of a server: not
+// those that the relay or the caller has caused, such as canceling a stalled stream.
+func TestOwnCancelIsNoServerEnd(t *testing.T) {
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		kind fault.Kind
+		ran  fault.Ran
+		want int // parts that there is evidence about
+	}{
+		{"connection broken", t.Context(), fault.Broken, fault.MaybeRun, 2},
+		{"stalled stream canceled", canceled, fault.Broken, fault.MaybeRun, 0},
+		{"deadline", t.Context(), fault.DeadlineExceeded, fault.MaybeRun, 0},
+		{"connection refused", t.Context(), fault.Unavailable, fault.NotRun, 0},
+		{"failed by the server", t.Context(), fault.Broken, fault.HasRun, 0},
+	} {
+		r := &Relay{quarantine: quarantine.New(), metrics: &relayMetrics{set: metrics.NewSet()}}
+		r.evidence = newEvidenceExchange(r)
+		j := &job{relay: r, parts: []uint64{1, 2}, attemptCtx: c.ctx}
+		j.recordServerEnd(&placement.Ticket{Server: roster.Server{ID: "a"}}, fault.New(c.kind, c.ran, "failed"))
+		if got := r.quarantine.Len(); got != c.want {
+			t.Errorf("%s: got evidence about %d parts, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -50,7 +50,8 @@
 	start         time.Time
 	deadline      time.Time // for the whole response
 	ctx           context.Context
-	done          chan error // receives the result of serve
+	attemptCtx    context.Context // of the latest send
+	done          chan error      // receives the result of serve
 
 	tried         map[string]bool // IDs of the servers that the request was sent to
 	colocated     bool            // prefill and decode must run on the same server
@@ -309,6 +310,7 @@
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	j.attemptCtx = ctx
 	var startTimer *time.Timer
 	if j.route.Kind == routes.Stream && j.route.Retryable() {
 		startTimer = time.AfterFunc(streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -82,7 +82,7 @@
 // the relay itself or the caller caused says nothing about the server.
 func (j *job) recordServerEnd(ticket *placement.Ticket, err error) {
 	e := fault.FromError(err)
-	if e.Kind != fault.Broken || e.Ran != fault.MaybeRun || j.ctx.Err() != nil {
+	if e.Kind != fault.Broken || e.Ran != fault.MaybeRun || j.attemptCtx.Err() != nil {
 		return
 	}
 	j.endedServerID = ticket.Server.ID
