Let a relay try a quarantined part again after its trial failed

Callers would have been refused for longer than said: a relay that had tried a part in round 1 let no request through in round 1 after the next pause, since rounds count from the last end and the reservation didn't. Found by reading.

--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -388,6 +388,7 @@
 	p.ends[end] = record
 	if record.at.After(p.lastEnd) {
 		p.lastEnd = record.at
+		p.tried = 0 // rounds count from the last end
 	}
 	least := record.begun
 	for _, r := range p.ends {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -36,9 +36,9 @@
 	return &evidenceExchange{relay: r, pending: make(chan struct{}, 1), mu: rank.New(rank.Admission), wake: make(chan struct{})}
 }
 
-// notify has the evidence sent soon if there is any to tell.
-func (x *evidenceExchange) notify(any bool) {
-	if !any {
+// notify has the evidence sent soon if some has changed.
+func (x *evidenceExchange) notify(changed bool) {
+	if !changed {
 		return
 	}
 	select {
