--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -10,6 +10,10 @@
 	"endivedeck.example/upstream"
 )
 
+// maxSharedParts is how many parts of a prompt are logged and judged; callers choose
+// their number.
+const maxSharedParts = 32
+
 // Dialects holds the registered dialects by name.
 var Dialects = kernel.NewRegistry[Dialect]("dialect of requests")
 
@@ -89,3 +93,14 @@
 	Failed                         // the request failed after it ran or may have run
 	NotRun                         // the request has not run and will not
 )
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may
+// share, at most maxSharedParts. The last part belongs to the request alone.
+func (i *RequestInfo) sharedParts() []uint64 {
+	n := min(max(len(i.Prompt)-1, 0), maxSharedParts)
+	ids := make([]uint64, 0, n)
+	for _, part := range i.Prompt[:n] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -25,6 +25,7 @@
 	class  ResponseClass
 	sentAt time.Time
 	cancel context.CancelFunc
+	begun  bool // a part of the answer has been received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -35,13 +36,16 @@
 	elapsed := time.Since(f.sentAt)
 	if err != nil {
 		f.endTicket(placement.NoResponse, elapsed)
-		return fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		err = fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		j.recordServerEnd(f.ticket, err)
+		return err
 	}
 	if f.class == Failed {
 		f.endTicket(placement.Failed, elapsed)
 		j.errorResponse = &errorResponse{status: f.resp.Status, header: f.resp.Header, body: body}
 		return fault.New(fault.Broken, fault.HasRun, "backend server %s responded with status %d", f.ticket.Server.ID, f.resp.Status)
 	}
+	j.recordBegun()
 	f.endTicket(placement.Succeeded, elapsed)
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
@@ -85,6 +89,10 @@
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
+	if !f.begun {
+		f.begun = true
+		j.recordBegun()
+	}
 	if j.timeToFirstByte == 0 {
 		j.timeToFirstByte = time.Since(j.start)
 		f.ticket.ResponseBegun(time.Now(), time.Since(f.sentAt))
@@ -118,6 +126,9 @@
 	if j.ctx.Err() != nil {
 		streamErr = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "deadline passed or request canceled while streaming from backend server %s", f.ticket.Server.ID)
 	}
+	if !f.begun {
+		j.recordServerEnd(f.ticket, streamErr)
+	}
 	if !j.response.headerSent {
 		return streamErr
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -38,6 +38,7 @@
 	request       *http.Request
 	response      *callerResponse
 	info          RequestInfo
+	parts         []uint64 // of the prompt that other requests may share
 	route         *routes.Route
 	routesVersion uint64
 	body          []byte
@@ -45,7 +46,8 @@
 	start         time.Time
 	deadline      time.Time // for the whole response
 	ctx           context.Context
-	done          chan error // receives the result of serve
+	attemptCtx    context.Context // of the latest send
+	done          chan error      // receives the result of serve
 
 	tried         map[string]bool // IDs of the servers that the request was sent to
 	colocated     bool            // prefill and decode must run on the same server
@@ -54,11 +56,14 @@
 	executions    int             // sends after which the request may have run
 	retryCounted  atomic.Bool     // the next retry has been counted against the budget
 	lastEventID   string          // ID of the event after which the stream resumes
+	trial         bool            // the request tries a quarantined part of a prompt
+	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
 	choice          placement.Choice // the latest
 	serverID        string
+	endedServerID   string // of the latest server that broke the connection before it sent any part of the answer
 	prefillServerID string
 	prefillTime     time.Duration // how long the prefill took on that server
 }
@@ -77,6 +82,7 @@
 // or no retry is allowed.
 func (j *job) serve() error {
 	j.lastEventID = j.info.LastEventID
+	j.parts = j.info.sharedParts()
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
 		err := j.attempt()
@@ -106,6 +112,8 @@
 		return false
 	case j.sends >= j.route.MaxAttempts+extraSends:
 		return false
+	case j.quarantined, j.repeatsServerEnd(time.Now()):
+		return false
 	case e.Ran != fault.NotRun && (!j.route.Retryable() || j.executions >= j.route.MaxAttempts):
 		return false
 	case j.errorResponse != nil && j.errorResponse.status < http.StatusInternalServerError:
@@ -155,6 +163,9 @@
 		}
 	}
 	now := time.Now()
+	if err := j.checkParts(now); err != nil {
+		return err
+	}
 	request := j.placementRequest(now)
 	choice, err := j.relay.placement.Choose(now, request)
 	if err != nil {
@@ -176,6 +187,11 @@
 			j.releaseKV(opts)
 			return err
 		}
+		if err := j.checkParts(time.Now()); err != nil {
+			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Canceled})
+			j.releaseKV(opts)
+			return err
+		}
 	}
 	return j.execute(choice.Runner, opts)
 }
@@ -301,6 +317,7 @@
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	j.attemptCtx = ctx
 	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
 	sentAt := time.Now()
 	resp, err := j.send(ctx, opts)
@@ -309,6 +326,7 @@
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
 		if fault.FromError(err).Ran != fault.NotRun {
 			j.executions++
+			j.recordServerEnd(ticket, err)
 		} else {
 			j.releaseKV(opts)
 		}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/routes"
 )
 
@@ -20,6 +21,7 @@
 		return float64(version)
 	})
 	set.NewGauge("relay_connections_opened_total", func() float64 { return float64(r.upstream.DialCount()) })
+	set.NewGauge("relay_quarantined_parts", func() float64 { return float64(r.quarantine.Count(quarantine.Quarantined)) })
 	return &relayMetrics{set: set}
 }
 
@@ -31,6 +33,12 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_whole_seconds{kind=%q}`, kind)).Update(total.Seconds())
 }
 
+// countServerEnd counts a request whose connection a server of the service broke
+// before it sent any part of the answer.
+func (m *relayMetrics) countServerEnd(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_ended_total{service=%q}`, service)).Inc()
+}
+
 func (m *relayMetrics) countRetry(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_again_total{reason=%q}`, reason)).Inc()
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -140,7 +140,7 @@
 	headerSent bool // the header has been written
 	aborted    bool // the response can't be completed any more
 	status     int
-	retryAfter time.Duration // sent with a refusal
+	retryAfter time.Duration // of an error response that says that the request has not run
 }
 
 func newCallerResponse(w http.ResponseWriter) *callerResponse {
