--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -117,3 +117,26 @@
 		t.Errorf("got requests\n%swant none at b, which leaves, and the request with the KV cache of a at c", got)
 	}
 }
+
+// TestUndialableServer has a relay know a server that can't be connected to. Requests
+// that are placed there must be served by the other server, also those that may run
+// once only, and without another one the caller must be told that they haven't run.
+func TestUndialableServer(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:-1", "", ":", "[", "127.0.0.1:no-such-port"} {
+		odd := roster.Server{ID: strings.Repeat("o", 8<<10), Service: "assist", Address: address, StartedAt: 1, Seq: 1, Slots: -1, Domain: "near"}
+		alone := newTestbed(t, oneRoute(routes.AtMostOnce, 1, false))
+		alone.waitFor("the relay knows the odd server", func() bool {
+			alone.announce(odd) // has no effect until the relay has subscribed
+			return alone.relay.ServerCount("assist") == 1
+		})
+		if got := alone.send(http.MethodPost, "/a/", "", "x"); !strings.HasPrefix(got, "503 ") {
+			t.Errorf("with only a server at %q: got %s, want status 503", address, got)
+		}
+		b := newTestbed(t, oneRoute(routes.AtMostOnce, 1, false), &backendServer{name: "a", domain: "elsewhere", script: []string{plainResponse(200, "good")}})
+		b.announce(odd)
+		b.waitFor("the relay knows the odd server", func() bool { return b.relay.ServerCount("assist") == 2 })
+		if got, want := b.send(http.MethodPost, "/a/", "", "x"), `200 Response-Signature=s "good" complete`; got != want {
+			t.Errorf("with a server at %q: got %s, want %s", address, got, want)
+		}
+	}
+}
