Treat a resumed stream without an event as broken

A caller whose stream broke off got a complete response without its last events, if the server that was to resume it responded with an empty success. The end of an empty body counted as the end of the stream.

TestEmptyResumptionLooksComplete failed before for a chunked and an unframed body, the length 0, status 204 and a body with only a comment: the response ended as complete after the first event. Now the resumption has failed: another server is asked, or the response is cut, after which the caller may resume it. A stream that breaks off exactly between its last event and its end is now cut too; the relay can't tell the two apart. The dialect returns the IDs of events, which replaces the ID of the last one.

--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -50,9 +50,9 @@
 		// request, as in placement.Part.
 		ParseCacheList(body []byte) ([]uint64, error)
 
-		// LastEventID returns the ID of the last of the complete events, or last if
-		// none of them has an ID.
-		LastEventID(events []byte, last string) string
+		// EventIDs returns the ID of each of the complete events, or an empty one for
+		// an event without. Comments are no events.
+		EventIDs(events []byte) []string
 	}
 
 	// RequestInfo is the information in the header of a caller's request.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -25,6 +26,8 @@
 	stallFactor = 3
 )
 
+var errNoEvent = errors.New("the resumed stream has no event")
+
 // responseForwarder forwards the response of one backend server to the caller.
 type responseForwarder struct {
 	job    *job
@@ -33,6 +36,7 @@
 	class  ResponseClass
 	sentAt time.Time
 	cancel context.CancelFunc
+	begun  bool // an event of this response has been received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -57,11 +61,13 @@
 // forwardStream forwards the events of a stream as they arrive. If the stream is
 // resumable and stalls, the request to the server is canceled. Only complete
 // events count as progress: a stalled server may still send a byte now and then.
-// A stream that ends within an event is broken, whatever its framing says.
+// A stream that ends within an event is broken, whatever its framing says, and so is
+// a resumed one without any event, since the caller couldn't tell it from the rest.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
 	stall := newStallDetector(j.route.Resumable, f.cancel)
 	defer stall.stop()
+	resumed := j.response.headerSent
 	splitter := &eventSplitter{}
 	buf := make([]byte, streamBufferBytes)
 	for {
@@ -73,7 +79,12 @@
 		if err == io.EOF && len(bytes.TrimSpace(splitter.partial)) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
-		if forwardErr := f.forwardEvents(complete, err == io.EOF); forwardErr != nil {
+		ids := j.relay.dialect.EventIDs(complete)
+		f.begun = f.begun || len(ids) > 0
+		if err == io.EOF && resumed && !f.begun {
+			err = errNoEvent
+		}
+		if forwardErr := f.forwardEvents(complete, ids, err == io.EOF); forwardErr != nil {
 			return forwardErr
 		}
 		switch {
@@ -88,7 +99,7 @@
 
 // forwardEvents writes complete events to the caller. The response header is
 // written together with the first of them, or at the end of an empty stream.
-func (f *responseForwarder) forwardEvents(events []byte, atEOF bool) error {
+func (f *responseForwarder) forwardEvents(events []byte, ids []string, atEOF bool) error {
 	j := f.job
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
@@ -101,7 +112,7 @@
 		f.resp.Header.Del("Content-Length") // wrong if another server resumes the stream
 		j.response.sendHeader(j.relay.dialect, f.resp.Status, f.resp.Header)
 	}
-	j.lastEventID = j.relay.dialect.LastEventID(events, j.lastEventID)
+	j.position.advance(ids)
 	if err := j.response.write(events); err != nil {
 		j.response.aborted = true
 		f.endTicket(placement.Canceled, 0)
--- a/relay/job.go
+++ b/relay/job.go
@@ -56,7 +56,7 @@
 	clientRetry   bool            // the caller retries a request that was refused
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
-	lastEventID   string          // ID of the event after which the stream resumes
+	position      streamPosition  // after which the stream resumes
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
@@ -79,7 +79,7 @@
 // serve sends the request to backend servers until a response has been forwarded
 // or no retry is allowed.
 func (j *job) serve() error {
-	j.lastEventID = j.info.LastEventID
+	j.position.lastID = j.info.LastEventID
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
 		err := j.attempt()
@@ -158,7 +158,7 @@
 		j.relay.retryBudget.CountRequest(now, j.service)
 	}
 	j.sends++
-	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.lastEventID, PrefixSource: choice.PrefixSource}
+	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.position.lastID, PrefixSource: choice.PrefixSource}
 	if choice.Prefiller != nil {
 		err := j.prefill(choice, &opts)
 		if err != nil {
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,44 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+
+	"endivedeck.example/routes"
+)
+
+const (
+	firstEvent  = `"id: 1\ndata: e1\n\n" truncated`
+	wholeStream = `"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete`
+)
+
+// resumption is one resumption of a stream: its first server sends events and breaks
+// off, and the second one responds with next.
+type resumption struct{ name, begun, next, want string }
+
+// checkResumption sends a resumable stream to a server for each case.
+func checkResumption(t *testing.T, cases []resumption) {
+	t.Helper()
+	for _, c := range cases {
+		b := newTestbed(t, oneRoute(routes.Stream, 2, true), twoServers(c.begun, c.next)...)
+		if got, want := b.send(http.MethodPost, "/a/", "", "x"), "200 Response-Signature=s "+c.want; got != want {
+			t.Errorf("%s: got %s, want %s", c.name, got, want)
+		}
+	}
+}
+
+// TestEmptyResumptionLooksComplete has the next server respond with success and no
+// event. The caller's stream must not end as if it were complete.
+func TestEmptyResumptionLooksComplete(t *testing.T) {
+	begun := streamResponse(event(1), "<cut>")
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
+	checkResumption(t, []resumption{
+		{"chunked", begun, streamResponse(), firstEvent},
+		{"length 0", begun, plainResponse(200, ""), firstEvent},
+		{"status 204", begun, "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n", firstEvent},
+		{"connection closed", begun, head + "\r\n<cut>", firstEvent},
+		{"only a comment", begun, streamResponse(": busy\n\n"), `"id: 1\ndata: e1\n\n: busy\n\n" truncated`},
+		{"comment before the rest", begun, streamResponse(": busy\n\n", event(2)), `"id: 1\ndata: e1\n\n: busy\n\nid: 2\ndata: e2\n\n" complete`},
+		{"the rest", begun, streamResponse(event(2)), wholeStream},
+	})
+}
