Keep error texts out of resumed streams

A caller found a web page, an error object or the head of a response in the middle of its stream, and the stream ended as complete, if the server that was to resume it responded with status 200 and such a body: whatever ended in a blank line was passed on.

The first event of a resumption must now have an ID, else the resumption has failed as if the connection had broken.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -26,7 +26,10 @@
 	stallFactor = 3
 )
 
-var errNoEvent = errors.New("the resumed stream has no event")
+var (
+	errNoEvent    = errors.New("the resumed stream has no event")
+	errNotResumed = errors.New("the resumed stream does not go on after the last event")
+)
 
 // responseForwarder forwards the response of one backend server to the caller.
 type responseForwarder struct {
@@ -80,6 +83,9 @@
 			err = io.ErrUnexpectedEOF
 		}
 		ids := j.relay.dialect.EventIDs(complete)
+		if resumed && !f.begun && len(ids) > 0 && !j.position.continuedBy(ids[0]) {
+			return f.handleBrokenStream(errNotResumed)
+		}
 		f.begun = f.begun || len(ids) > 0
 		if err == io.EOF && resumed && !f.begun {
 			err = errNoEvent
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -13,3 +13,6 @@
 		}
 	}
 }
+
+// continuedBy reports whether an event with the given ID can be the next one.
+func (p *streamPosition) continuedBy(id string) bool { return id != "" }
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -10,6 +10,7 @@
 const (
 	firstEvent  = `"id: 1\ndata: e1\n\n" truncated`
 	wholeStream = `"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete`
+	webPage     = "<html>\n\n<h1>Bad Gateway</h1>\n\n</html>\n\n"
 )
 
 // resumption is one resumption of a stream: its first server sends events and breaks
@@ -42,3 +43,18 @@
 		{"the rest", begun, streamResponse(event(2)), wholeStream},
 	})
 }
+
+// TestErrorTextInResumedStream has the next server respond with the text of an error.
+// Nothing of it may reach the caller.
+func TestErrorTextInResumedStream(t *testing.T) {
+	begun := streamResponse(event(1), "<cut>")
+	checkResumption(t, []resumption{
+		{"web page with status 200", begun, plainResponse(200, webPage), firstEvent},
+		{"web page with status 502", begun, plainResponse(502, webPage), firstEvent},
+		{"refusal", begun, plainResponse(503, webPage, "Not-Executed: 1"), firstEvent},
+		{"object with status 200", begun, plainResponse(200, "{\"error\":\"full\"}\n\n"), firstEvent},
+		{"error event without an ID", begun, streamResponse("event: error\ndata: full\n\n"), firstEvent},
+		{"text as data", begun, streamResponse("data: full\n\n", event(2)), firstEvent},
+		{"head of a response in the body", begun, streamResponse(plainResponse(500, "bad") + "\r\n\r\n"), firstEvent},
+	})
+}
