Check that a resumed stream goes on after the last event

A caller got events twice, or missed some, in a response that ended as complete, if the server that was to resume the stream began it again, repeated the last event or went on later. Without IDs there was no place to go on at, so the whole answer of the second server followed the first part.

The first event of a resumption must now have a higher number than the last one that was forwarded, and the next number if all were consecutive so far; else the resumption has failed. A stream whose last event has no ID is cut instead of resumed.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -148,7 +148,7 @@
 	}
 	// The caller has a part of the stream, so only a server that sends the rest
 	// can complete the response.
-	for j.mayRetry(streamErr) {
+	for j.position.resumable() && j.mayRetry(streamErr) {
 		j.colocated = true
 		j.logRetry(streamErr)
 		attemptErr := j.attempt()
--- a/relay/job.go
+++ b/relay/job.go
@@ -79,7 +79,7 @@
 // serve sends the request to backend servers until a response has been forwarded
 // or no retry is allowed.
 func (j *job) serve() error {
-	j.position.lastID = j.info.LastEventID
+	j.position = newStreamPosition(j.info.LastEventID)
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
 		err := j.attempt()
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"endivedeck.example/routes"
@@ -58,3 +59,32 @@
 		{"head of a response in the body", begun, streamResponse(plainResponse(500, "bad") + "\r\n\r\n"), firstEvent},
 	})
 }
+
+// TestResumedStreamRepeatsOrSkips has the next server go on at another event than the
+// one after the last.
+func TestResumedStreamRepeatsOrSkips(t *testing.T) {
+	steps := func(ids ...int) string {
+		var events []string
+		for _, id := range ids {
+			events = append(events, event(id))
+		}
+		return streamResponse(append(events, "<cut>")...)
+	}
+	text := func(ids ...int) string {
+		var all string
+		for _, id := range ids {
+			all += event(id)
+		}
+		return `"` + strings.ReplaceAll(all, "\n", `\n`) + `" `
+	}
+	checkResumption(t, []resumption{
+		{"from the start", steps(1, 2), streamResponse(event(1), event(2), event(3)), text(1, 2) + "truncated"},
+		{"the last event again", steps(1, 2), streamResponse(event(2), event(3)), text(1, 2) + "truncated"},
+		{"a gap", steps(1, 2), streamResponse(event(4)), text(1, 2) + "truncated"},
+		{"a gap after the first event", steps(1), streamResponse(event(3)), text(1) + "truncated"},
+		{"numbers in wider steps", steps(1, 4, 9), streamResponse(event(12)), text(1, 4, 9, 12) + "complete"},
+		{"wider steps, from the start", steps(4, 9), streamResponse(event(4), event(9)), text(4, 9) + "truncated"},
+		{"no IDs, which leaves no place to go on at", streamResponse("data: a\n\n", "<cut>"), streamResponse("data: a\n\n", "data: b\n\n"), `"data: a\n\n" truncated`},
+		{"last event without an ID", streamResponse(event(1), "data: a\n\n", "<cut>"), streamResponse("data: a\n\n"), `"id: 1\ndata: e1\n\ndata: a\n\n" truncated`},
+	})
+}
