Test that a refusal which a server writes again is not believed

A server that writes an earlier refusal once more on a kept connection could make a relay tell "not run" about a request that runs. It can't: the ID in the response tells the copy from the response to another request, more than two strays break the connection, and under the same ID no copy can arrive, since a relay reads no body of a refusal and so closes its connection.

Both tests named TestRefusalWrittenAgain passed before; that of package relay fails with "503 overloaded" for the second request if the body of the refusal is read and the connection kept. The comment in execute says that the relay depends on it.

--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -140,3 +140,17 @@
 		}
 	}
 }
+
+// TestRefusalWrittenAgain has a server write a refusal once more where the response to
+// the next request is due. A caller who sends a refused request again under its ID
+// must not be told a second time that it hasn't run: it runs.
+func TestRefusalWrittenAgain(t *testing.T) {
+	server := &backendServer{name: "a", script: []string{notExecuted, plainResponse(200, "good")}, stray: notExecuted}
+	b := newTestbed(t, oneRoute(routes.AtMostOnce, 1, false), server)
+	if got := b.send(http.MethodPost, "/a/", "", "x"); !strings.HasPrefix(got, "503 ") {
+		t.Errorf("got %s, want status 503", got)
+	}
+	if got, want := b.send(http.MethodPost, "/a/", "", "x"), `200 Response-Signature=s "good" complete`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -315,6 +315,8 @@
 	defer resp.Close()
 	class := j.relay.dialect.Classify(resp.Status, resp.Header)
 	if class == NotRun {
+		// Close doesn't keep a connection whose response wasn't read: the server may
+		// write the refusal again in place of a later response.
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Refused})
 		j.colocated = j.colocated || opts.KVHandle != ""
 		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, resp.Status)
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -56,6 +56,7 @@
 		stage    roster.Stage
 		domain   string
 		script   []string
+		stray    string // written before each response but the first on a connection
 		release  chan struct{}
 		listener net.Listener
 
@@ -267,7 +268,7 @@
 func (s *backendServer) loop(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
-	for {
+	for stray := ""; ; stray = s.stray {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -290,7 +291,7 @@
 		}
 		text, broken := strings.CutSuffix(step, "<cut>")
 		text, drips := strings.CutSuffix(text, "<drip>")
-		if err := writeWithPauses(c, text); err != nil || broken {
+		if err := writeWithPauses(c, stray+text); err != nil || broken {
 			return
 		}
 		for drips {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -25,6 +25,7 @@
 	responses          []string // in order, over all connections
 	closeAfterResponse bool     // close the connection after each response
 	dropSecond         bool     // close the connection without a response to the second request
+	stray              string   // written before each response but the first on a connection
 
 	mu        sync.Mutex
 	next      int
@@ -68,7 +69,7 @@
 func (s *scriptedServer) loop(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
-	for {
+	for stray := ""; ; stray = s.stray {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -81,7 +82,7 @@
 		if !ok {
 			return
 		}
-		if _, err := io.WriteString(c, strings.ReplaceAll(response, "ID", r.Header.Get(idHeader))); err != nil || s.closeAfterResponse {
+		if _, err := io.WriteString(c, stray+strings.ReplaceAll(response, "ID", r.Header.Get(idHeader))); err != nil || s.closeAfterResponse {
 			return
 		}
 	}
@@ -180,6 +181,45 @@
 	golden.Check(t, "responses.golden", got.String())
 }
 
+// TestRefusalWrittenAgain has a server write a refusal once more where the response to a
+// later request on the connection is due. The later request runs, so its result must
+// not be the refusal.
+func TestRefusalWrittenAgain(t *testing.T) {
+	const (
+		refusal   = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nContent-Length: 4\r\n\r\nfull"
+		again     = "HTTP/1.1 503 Full\r\nX-Id: one\r\nContent-Length: 4\r\n\r\nfull"
+		unnamed   = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull"
+		good      = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 4\r\n\r\ngood"
+		refused   = `503 "full"`
+		done      = `200 "good"`
+		uncertain = "broken, ran unknown"
+	)
+	for _, c := range []struct {
+		name      string
+		ids       []string
+		responses []string
+		stray     string
+		want      []string
+	}{
+		{"before the response to another request", []string{"one", "two"}, []string{refusal, good}, again, []string{refused, done}},
+		{"twice", []string{"one", "two"}, []string{refusal, good}, again + again, []string{refused, done}},
+		{"more often", []string{"one", "two"}, []string{refusal, good}, again + again + again, []string{refused, uncertain}},
+		{"in place of the response", []string{"one", "two"}, []string{refusal, ""}, again + again + again, []string{refused, uncertain}},
+		{"two requests later", []string{"one", "two", "three"}, []string{refusal, good, good}, again, []string{refused, done, done}},
+		{"without an ID", []string{"one", "two"}, []string{unnamed, good}, unnamed, []string{refused, uncertain}},
+	} {
+		s := newScriptedServer(t, c.responses...)
+		s.stray = c.stray
+		p := newPool()
+		for i, id := range c.ids {
+			if got := send(p, s.address(), http.MethodPost, id, []byte("x")); got != c.want[i] {
+				t.Errorf("%s: request %d: got %s, want %s", c.name, i+1, got, c.want[i])
+			}
+		}
+		p.Close()
+	}
+}
+
 // TestConnectionRefused checks that a refused connection is reported as
 // unavailable and not run.
 func TestConnectionRefused(t *testing.T) {
