Believe no response without an ID behind a stray one

A caller could be told that its request hadn't run, on the word of a refusal that named no request, after the server had just shown on the same new connection that it writes responses which belong to others. Only reused connections were treated as in doubt.

TestRefusalWrittenAgain failed before with the case "without an ID, after a response to another request": got 503, want broken and unknown. Now a response without an ID counts only as the first one on its connection, informational responses aside.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -147,6 +147,7 @@
 // informational responses and responses to other requests, at most
 // maxStrayResponses altogether.
 func (c *conn) readResponse(w *requestWrite, r Request) (*Response, error) {
+	strays := c.reused // responses to other requests may come, or have come
 	for range maxStrayResponses + 1 {
 		response, err := c.readHeader(w.request)
 		if err != nil {
@@ -160,8 +161,8 @@
 			match = r.Match(response.Header)
 		}
 		switch {
-		case match == Unknown && c.reused:
-			return nil, errors.New("received a response that may belong to an earlier request on the connection")
+		case match == Unknown && strays:
+			return nil, errors.New("received a response that may belong to another request")
 		case match != Other:
 			return &Response{
 				Status:        response.StatusCode,
@@ -174,6 +175,7 @@
 		case response.Close, response.ContentLength < 0, response.ContentLength > maxStrayBodyBytes:
 			return nil, errors.New("received a response to another request that cannot be skipped")
 		}
+		strays = true
 		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
 			return nil, err
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -207,6 +207,8 @@
 		{"in place of the response", []string{"one", "two"}, []string{refusal, ""}, again + again + again, []string{refused, uncertain}},
 		{"two requests later", []string{"one", "two", "three"}, []string{refusal, good, good}, again, []string{refused, done, done}},
 		{"without an ID", []string{"one", "two"}, []string{unnamed, good}, unnamed, []string{refused, uncertain}},
+		{"without an ID, after a response to another request", []string{"two"}, []string{again + unnamed + good}, "", []string{uncertain}},
+		{"without an ID, after an informational response", []string{"two"}, []string{"HTTP/1.1 102 Processing\r\n\r\n" + unnamed}, "", []string{refused}},
 	} {
 		s := newScriptedServer(t, c.responses...)
 		s.stray = c.stray
