Pass no failure on whose status says "not run" unless the server says so

A caller could send a request that had run a second time: a server's 503, 429 or 408 was passed on as it came, and callers take these as a promise. Only a response that also has the header for it says that the request hasn't run.

TestFailureLooksLikePromise failed before for each of the three, "503 Response-Signature=s failed". For requests that may run once only the caller now gets 502 from the relay; for the others the server's response is unchanged.

--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -154,3 +154,25 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// TestFailureLooksLikePromise has a server fail with a status that tells callers "not
+// run", without saying so itself. For a request that may run once only the caller must
+// not get that status; one that may be repeated gets it unchanged.
+func TestFailureLooksLikePromise(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		failed := func() []*backendServer {
+			return twoServers(plainResponse(status, "failed"), plainResponse(status, "failed"))
+		}
+		b := newTestbed(t, oneRoute(routes.AtMostOnce, 2, false), failed()...)
+		if got, want := b.send(http.MethodPost, "/a/", "", "x"), `502 "broken\n" complete`; got != want {
+			t.Errorf("status %d, once only: got %s, want %s", status, got, want)
+		}
+		if got, want := b.servers[0].requestCount()+b.servers[1].requestCount(), 1; got != want {
+			t.Errorf("status %d, once only: got %d requests, want %d", status, got, want)
+		}
+		b = newTestbed(t, oneRoute(routes.Idempotent, 1, false), failed()...)
+		if got, want := b.send(http.MethodGet, "/a/", "", ""), fmt.Sprintf(`%d Response-Signature=s "failed" complete`, status); got != want {
+			t.Errorf("status %d, repeatable: got %s, want %s", status, got, want)
+		}
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -120,10 +120,14 @@
 // finalError returns the error that is reported to the caller. If a server sent an
 // error response, that is forwarded instead, unless the response to the caller has
 // begun. A request that may have run on one server is never reported as not run,
-// even if the last server refused it.
+// even if the last server refused it, or if a server used a status of that meaning
+// without refusing it.
 func (j *job) finalError(err error) error {
 	e := fault.FromError(err)
 	if e != nil && j.errorResponse != nil && !j.response.headerSent {
+		if impliesNotRun(j.errorResponse.status) && !j.route.Retryable() {
+			return fault.New(fault.Broken, fault.HasRun, "%s", e.Message)
+		}
 		return j.respond(j.errorResponse.status, j.errorResponse.header, j.errorResponse.body)
 	}
 	if e != nil && e.Ran == fault.NotRun && j.executions > 0 {
