Use a new connection for each request to an engine

A caller could be told that its chat hadn't run while the engine ran it, and an entry then sent it to a second engine: an engine that writes an earlier refusal once more on a kept connection was believed. Responses of the dialect "lines" have no ID, and net/http takes whatever it reads after the request for the response. In the same way an old load report could count as the state after an order.

TestRefusalWrittenAgain failed before: the second request got "overloaded, ran no", want its answer. The engine is on the sidecar's machine, so a connection is cheap; there are no idle ones any more that could be silently lost. Ruled out: doubting refusals on used connections only, which would make each refusal under load uncertain.

--- a/engine/generation.go
+++ b/engine/generation.go
@@ -80,9 +80,6 @@
 		err = g.readLines(body, watchdog)
 	}
 	g.timedOut = err != nil && connCtx.Err() != nil && ctx.Err() == nil
-	if g.timedOut {
-		g.client.httpClient.CloseIdleConnections()
-	}
 	return err
 }
 
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -22,7 +22,6 @@
 	silenceTimeout = 2 * time.Second // without a line; then the stream is resumed over a new connection
 	maxLineBytes   = 1 << 20
 	maxBodyBytes   = 64 << 20
-	maxIdleConns   = 64
 )
 
 var (
@@ -95,14 +94,12 @@
 	Dialects.Register("lines", NewLinesClient)
 }
 
-// NewLinesClient returns the client for the engine at address.
+// NewLinesClient returns the client for the engine at address. It uses a connection for
+// one request only: responses bear no ID, so one that a faulty engine writes again
+// would be taken for the response to the next request.
 func NewLinesClient(address string) Engine {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     time.Minute,
-	}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	return &LinesClient{base: "http://" + address, httpClient: &http.Client{Transport: transport}}
 }
 
--- /dev/null
+++ b/engine/lines_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"endivedeck.example/engine"
+	"endivedeck.example/fault"
+	"endivedeck.example/message"
+)
+
+// scriptedEngine is an engine that responds to each request with the next step of a
+// script: the text of a response, or "hang" to send nothing more until the client
+// closes the connection. A text may end with "<hang>" for the same after it.
+type scriptedEngine struct {
+	listener net.Listener
+	stray    string // written before each response but the first on a connection
+
+	mu       sync.Mutex
+	script   []string
+	requests []string
+}
+
+func newScriptedEngine(t *testing.T, script ...string) *scriptedEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &scriptedEngine{listener: listener, script: script}
+	go e.run()
+	t.Cleanup(func() { _ = listener.Close() })
+	return e
+}
+
+// run accepts connections until the listener is closed.
+func (e *scriptedEngine) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.loop(c)
+	}
+}
+
+// loop follows the script for the requests on one connection.
+func (e *scriptedEngine) loop(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for stray := ""; ; stray = e.stray {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		text, hangs := strings.CutSuffix(e.nextStep(r), "<hang>")
+		if _, err := io.WriteString(c, stray+text); err != nil {
+			return
+		}
+		if hangs {
+			_, _ = in.ReadByte() // returns when the client closes the connection
+			return
+		}
+	}
+}
+
+func (e *scriptedEngine) nextStep(r *http.Request) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r.Method+" "+r.RequestURI)
+	if len(e.script) == 0 {
+		return "<hang>"
+	}
+	step := e.script[0]
+	e.script = e.script[1:]
+	return step
+}
+
+// response returns a response with a length.
+func response(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+}
+
+// generate runs a request with the given ID and returns its result as text.
+func generate(e engine.Engine, id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var text strings.Builder
+	err := e.Generate(ctx, message.GenerateRequest{ID: id, MaxTokens: 8}, func(c message.Chunk) error {
+		if c.ID == id {
+			text.WriteString(c.Text)
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Sprintf("%q, %s, ran %s", text.String(), fault.KindOf(err), fault.FromError(err).Ran)
+	}
+	return fmt.Sprintf("%q", text.String())
+}
+
+// TestRefusalWrittenAgain has an engine write a refusal once more where the response to
+// the next request is due. That request runs, so its result must not be "not run".
+func TestRefusalWrittenAgain(t *testing.T) {
+	refusal := response(503, `{"kind":"overloaded","ran":"no","text":"full"}`)
+	answer := response(200, `{"id":"two","offset":0,"tokens":1,"text":"good"}`+"\n"+`{"id":"two","offset":1,"end":true,"reason":"stop"}`+"\n")
+	s := newScriptedEngine(t, refusal, answer)
+	s.stray = refusal
+	e := engine.NewLinesClient(s.listener.Addr().String())
+	if got, want := generate(e, "one"), `"", overloaded, ran no`; got != want {
+		t.Errorf("first request: got %s, want %s", got, want)
+	}
+	if got, want := generate(e, "two"), `"good"`; got != want {
+		t.Errorf("second request: got %s, want %s", got, want)
+	}
+}
