Use a new connection for each call to a service

A caller could get the answer to somebody else's read: a service that writes an earlier response once more on a kept connection was believed. Responses of services have no ID, and net/http drops a copy only if it arrives while the connection is idle. Orders had their own connections already.

TestLateCopyOfAnswer failed before: the second read got the response "/first". Now reads and health checks use a connection once too, with the client of the orders; the service is on the sidecar's machine.

--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	serviceDialTimeout  = time.Second
-	maxResponseBytes    = 8 << 20
-	maxIdleServiceConns = 64
+	serviceDialTimeout = time.Second
+	maxResponseBytes   = 8 << 20
 )
 
 // ServiceDialects is the registry of service dialects.
@@ -42,9 +41,8 @@
 
 	// httpService is a service called over HTTP.
 	httpService struct {
-		settings     ServiceSettings
-		pooledClient *http.Client // for calls that may be repeated
-		orderClient  *http.Client // for orders; see newOrderClient
+		settings ServiceSettings
+		client   *http.Client
 	}
 )
 
@@ -53,23 +51,14 @@
 }
 
 func newHTTPService(settings ServiceSettings) Service {
-	return &httpService{settings: settings, pooledClient: newPooledClient(), orderClient: newOrderClient()}
+	return &httpService{settings: settings, client: newServiceClient()}
 }
 
-// newPooledClient returns a client for calls that may run more than once. It
-// reuses connections.
-func newPooledClient() *http.Client {
-	dialer := &net.Dialer{Timeout: serviceDialTimeout}
-	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleServiceConns},
-		CheckRedirect: dontFollowRedirect,
-	}
-}
-
-// newOrderClient returns a client for orders, which must not be sent twice. It
-// does not reuse connections, because net/http by itself resends a request with
+// newServiceClient returns a client that uses each connection for one request.
+// Responses bear no ID, so one that a faulty service writes again would be taken for
+// the response to the next request. Besides, net/http by itself resends a request with
 // an Idempotency-Key when a reused connection breaks.
-func newOrderClient() *http.Client {
+func newServiceClient() *http.Client {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
 		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
@@ -88,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.pooledClient.Do(request)
+	response, err := s.client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -108,12 +97,10 @@
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
-	client := s.pooledClient
 	if call.BeginIndex != 0 {
-		client = s.orderClient
 		request.Header.Set("Idempotency-Key", call.IdempotencyKey)
 	}
-	response, err := client.Do(request)
+	response, err := s.client.Do(request)
 	if err != nil {
 		return order.Response{}, requestError(err)
 	}
