Don't say "not run" once an engine may have got the request

A caller could be told that its chat hadn't run although the engine had it: after 2 s of silence the sidecar asks for the rest over a new connection, and a refusal of that call, "overloaded, ran no", was returned as the outcome of the request, even with tokens passed on already.

After the first silence only an engine that doesn't know the request, and has sent no token of it, can still say "not run"; an error without a statement counts as unknown.

--- a/engine/generation.go
+++ b/engine/generation.go
@@ -45,15 +45,29 @@
 		return false, err
 	}
 	err = g.resume(ctx)
-	if fault.KindOf(err) == fault.NotFound {
+	lost := fault.KindOf(err) == fault.NotFound
+	if lost {
 		// The engine has no such stream: the request was lost and may be sent again.
 		err = g.stream(ctx, func(ctx context.Context) (io.ReadCloser, error) {
 			return g.client.post(ctx, "/v1/streams", body)
 		})
 	}
+	if !lost || g.nextOffset > g.request.Offset {
+		err = mayHaveRun(err)
+	}
 	return true, err
 }
 
+// mayHaveRun returns err with Ran changed from NotRun to MaybeRun, for an engine that
+// may have got the request before it refused to go on with the answer.
+func mayHaveRun(err error) error {
+	e := fault.FromError(err)
+	if e == nil || e.Ran != fault.NotRun {
+		return err
+	}
+	return fault.New(e.Kind, fault.MaybeRun, "%s", e.Message)
+}
+
 // resume requests the rest of the stream over another connection.
 func (g *generation) resume(ctx context.Context) error {
 	address := fmt.Sprintf("%s/v1/streams/%s?offset=%d", g.client.base, url.PathEscape(g.request.ID), g.nextOffset)
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -110,7 +110,7 @@
 	g := &generation{client: c, request: request, nextOffset: request.Offset, yield: yield}
 	resumable, err := g.start(ctx)
 	for resumable && g.timedOut && ctx.Err() == nil {
-		err = g.resume(ctx)
+		err = mayHaveRun(g.resume(ctx))
 	}
 	return err
 }
@@ -249,6 +249,9 @@
 	var engineError fault.Error
 	data, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
 	if json.Unmarshal(data, &engineError) == nil && engineError.Kind != "" {
+		if engineError.Ran == "" {
+			engineError.Ran = fault.MaybeRun
+		}
 		return nil, fault.WithStack(&engineError)
 	}
 	return nil, fault.New(fault.Broken, fault.MaybeRun, "the engine responded with status %s", response.Status)
--- a/engine/lines_test.go
+++ b/engine/lines_test.go
@@ -124,3 +124,33 @@
 		t.Errorf("second request: got %s, want %s", got, want)
 	}
 }
+
+// TestRefusedResumptionSaysNotRun has an engine fall silent after it got a request, and
+// refuse to go on with the answer. The request may have run, unless the engine doesn't
+// know it and has sent nothing.
+func TestRefusedResumptionSaysNotRun(t *testing.T) {
+	refusal := response(503, `{"kind":"overloaded","ran":"no","text":"full"}`)
+	unknown := response(404, `{"kind":"not_found","ran":"no","text":"no such stream"}`)
+	line := `{"id":"one","offset":0,"tokens":1,"text":"a"}` + "\n"
+	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n<hang>", len(line), line)
+	for _, c := range []struct {
+		name   string
+		script []string
+		want   string
+	}{
+		{"refusal", []string{begun, refusal}, `"a", overloaded, ran unknown`},
+		{"refusal before a token", []string{"<hang>", refusal}, `"", overloaded, ran unknown`},
+		{"refusal by kind only", []string{begun, response(503, `{"kind":"unavailable"}`)}, `"a", unavailable, ran unknown`},
+		{"silent twice", []string{begun, "<hang>", refusal}, `"a", overloaded, ran unknown`},
+		{"lost and refused", []string{"<hang>", unknown, refusal}, `"", overloaded, ran no`},
+		{"forgotten and refused", []string{begun, unknown, refusal}, `"a", overloaded, ran unknown`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScriptedEngine(t, c.script...)
+			if got := generate(engine.NewLinesClient(s.listener.Addr().String()), "one"); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
