Test that no error text gets into the answer of an engine

An engine that falls silent in the middle of an answer and then responds with a page, an error object, nothing, or the end of another answer could have that passed on. It isn't: each line has the ID and the offset, and only the last line completes an answer.

--- a/engine/lines_test.go
+++ b/engine/lines_test.go
@@ -154,3 +154,28 @@
 		})
 	}
 }
+
+// TestErrorTextInAnswer has an engine fall silent in the middle of an answer and then
+// respond with something else than the rest. Nothing of it may be passed on, and the
+// answer must not look complete.
+func TestErrorTextInAnswer(t *testing.T) {
+	line := `{"id":"one","offset":0,"tokens":1,"text":"a"}` + "\n"
+	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n<hang>", len(line), line)
+	for _, c := range []struct{ name, next string }{
+		{"empty", response(200, "")},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n"},
+		{"web page", response(200, "<html>\n\n<h1>Bad Gateway</h1>\n")},
+		{"error object", response(200, `{"kind":"overloaded","ran":"no","text":"full"}`+"\n")},
+		{"error status", response(500, `{"id":"one","offset":1,"tokens":1,"text":"bad","end":true}`+"\n")},
+		{"end of another answer", response(200, `{"id":"two","offset":1,"end":true}`+"\n")},
+		{"text without tokens", response(200, `{"text":"bad"}`+"\n")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScriptedEngine(t, begun, c.next)
+			if got, want := generate(engine.NewLinesClient(s.listener.Addr().String()), "one"), `"a", broken, ran unknown`; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
