Decode messages with text that isn't UTF-8

A caller whose order had run could get no answer: if the service's Content-Type had a byte that isn't UTF-8, no process could decode the message with the response, nor could it be recorded, and the sidecar tried for 20 s. A relay lost a whole update in the same way. The library encodes such text, but refuses to decode it by default.

TestInvalidTextLosesNoMessage failed before with "cbor: invalid UTF-8 string", for a response and for an update. The text is now passed on as it is.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -190,8 +190,11 @@
 	return mode
 }
 
+// newDecMode returns the decoding options. Text that isn't UTF-8, which comes from
+// headers and URLs, must not make a peer lose the whole message.
 func newDecMode() cbor.DecMode {
 	options := cbor.DecOptions{
+		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxArrayElements: 1 << 20,
 		MaxMapPairs:      1 << 20,
 		MaxNestedLevels:  32,
