Refuse load reports with numbers that no engine has

An entry adds up the running and queued requests and the slots of all engines to decide on admission, and prefers engines with little load, so one engine's report of 2^62 or of a negative number decided for all callers of the model.

A number outside of 0 to 2^31-1 now fails the report, so that the engine counts as not healthy. A load that is possible but wrong is still believed.

--- a/engine/lines.go
+++ b/engine/lines.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,6 +23,7 @@
 	silenceTimeout = 2 * time.Second // without a line; then the stream is resumed over a new connection
 	maxLineBytes   = 1 << 20
 	maxBodyBytes   = 64 << 20
+	maxLoadNumber  = math.MaxInt32 // of requests, blocks, tokens or milliseconds in a load report
 )
 
 var (
@@ -136,6 +138,9 @@
 	if err := c.get(ctx, "/v1/load", &report); err != nil {
 		return State{}, err
 	}
+	if err := report.check(); err != nil {
+		return State{}, err
+	}
 	return State{
 		Load: message.Load{
 			Running:    report.Running,
@@ -153,6 +158,16 @@
 	}, nil
 }
 
+// check checks that the numbers are ones that an engine can have.
+func (r *loadReport) check() error {
+	for _, n := range []int64{int64(r.Running), int64(r.Queued), int64(r.Slots), int64(r.FreeBlocks), r.AgeMS, int64(r.BlockTokens)} {
+		if n < 0 || n > maxLoadNumber {
+			return fault.New(fault.Broken, fault.HasRun, "the engine's load report has the number %d, want 0 to %d", n, maxLoadNumber)
+		}
+	}
+	return nil
+}
+
 // Order implements Engine.
 func (c *LinesClient) Order(ctx context.Context, order Order) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/engine/lines_test.go
+++ b/engine/lines_test.go
@@ -179,3 +179,30 @@
 		})
 	}
 }
+
+// TestOddLoadReport has an engine report load that no engine has. Entries add up the
+// load of all engines, so such a report must not get to them.
+func TestOddLoadReport(t *testing.T) {
+	const good = `{"running":1,"queued":2,"slots":4,"freePieces":100,"ageMs":5,"state":"serving","pieceTokens":16}`
+	for _, c := range []struct{ old, replacement string }{
+		{`"running":1`, `"running":-1`},
+		{`"running":1`, `"running":4611686018427387904`},
+		{`"running":1`, `"running":1e400`},
+		{`"queued":2`, `"queued":-2`},
+		{`"queued":2`, `"queued":4611686018427387904`},
+		{`"slots":4`, `"slots":-4`},
+		{`"slots":4`, `"slots":4611686018427387904`},
+		{`"freePieces":100`, `"freePieces":-100`},
+		{`"ageMs":5`, `"ageMs":-5`},
+		{`"ageMs":5`, `"ageMs":9223372036854775807`},
+		{`"pieceTokens":16`, `"pieceTokens":-16`},
+		{good, strings.Repeat("[", 100_000)},
+		{good, good},
+	} {
+		s := newScriptedEngine(t, response(200, strings.Replace(good, c.old, c.replacement, 1)))
+		state, err := engine.NewLinesClient(s.listener.Addr().String()).State(t.Context())
+		if want := c.old == c.replacement; (err == nil) != want {
+			t.Errorf("%.40s: got %+v, %v, want accepted %v", c.replacement, state, err, want)
+		}
+	}
+}
