Return an error for a service's response with a status below 200

A caller's connection was closed without an answer if the service responded with a status like 099: the entry passed it on, and net/http refuses to write it by a panic. The response to an order was recorded and had the same effect at each resend. 101, after which a connection isn't HTTP any more, was passed on too.

TestStatusThatIsNone failed before for 000, 099 and 101: the call returned the status without an error. It now returns that the call has run and its response is broken.

--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -105,6 +105,9 @@
 		return order.Response{}, requestError(err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusOK {
+		return order.Response{}, fault.New(fault.Broken, fault.HasRun, "the service responded with status %03d, want 200 or more", response.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil || len(body) > maxResponseBytes {
 		return order.Response{}, fault.New(fault.Broken, fault.MaybeRun, "the service's response is truncated or exceeds %d bytes", maxResponseBytes)
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"endivedeck.example/fault"
 	"endivedeck.example/message"
 )
 
@@ -67,3 +68,44 @@
 		}
 	}
 }
+
+// TestStatusThatIsNone has a service respond with a status that can't be passed on. The
+// caller must get an error, since writing such a status ends the connection without a
+// response.
+func TestStatusThatIsNone(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		s := &oddService{listener: listener, status: status}
+		go s.run()
+		service := newHTTPService(ServiceSettings{Address: listener.Addr().String()})
+		response, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7, IdempotencyKey: "k"})
+		if got, want := fault.KindOf(err), fault.Broken; got != want {
+			t.Errorf("status %s: got %+v and error kind %q, want %q", status, response, got, want)
+		} else if got, want := fault.FromError(err).Ran, fault.HasRun; got != want {
+			t.Errorf("status %s: got ran %s, want %s", status, got, want)
+		}
+	}
+}
+
+// oddService is a service that responds to one request with the given status.
+type oddService struct {
+	listener net.Listener
+	status   string
+}
+
+// run serves one connection.
+func (s *oddService) run() {
+	c, err := s.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok", s.status)
+}
