--- a/engine/lines.go
+++ b/engine/lines.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,7 +23,7 @@
 	silenceTimeout = 2 * time.Second // without a line; then the stream is resumed over a new connection
 	maxLineBytes   = 1 << 20
 	maxBodyBytes   = 64 << 20
-	maxIdleConns   = 64
+	maxLoadNumber  = math.MaxInt32 // of requests, blocks, tokens or milliseconds in a load report
 )
 
 var (
@@ -95,14 +96,12 @@
 	Dialects.Register("lines", NewLinesClient)
 }
 
-// NewLinesClient returns the client for the engine at address.
+// NewLinesClient returns the client for the engine at address. It uses a connection for
+// one request only: responses bear no ID, so one that a faulty engine writes again
+// would be taken for the response to the next request.
 func NewLinesClient(address string) Engine {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     time.Minute,
-	}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	return &LinesClient{base: "http://" + address, httpClient: &http.Client{Transport: transport}}
 }
 
@@ -113,7 +112,7 @@
 	g := &generation{client: c, request: request, nextOffset: request.Offset, yield: yield}
 	resumable, err := g.start(ctx)
 	for resumable && g.timedOut && ctx.Err() == nil {
-		err = g.resume(ctx)
+		err = mayHaveRun(g.resume(ctx))
 	}
 	return err
 }
@@ -139,6 +138,9 @@
 	if err := c.get(ctx, "/v1/load", &report); err != nil {
 		return State{}, err
 	}
+	if err := report.check(); err != nil {
+		return State{}, err
+	}
 	return State{
 		Load: message.Load{
 			Running:    report.Running,
@@ -156,6 +158,16 @@
 	}, nil
 }
 
+// check checks that the numbers are ones that an engine can have.
+func (r *loadReport) check() error {
+	for _, n := range []int64{int64(r.Running), int64(r.Queued), int64(r.Slots), int64(r.FreeBlocks), r.AgeMS, int64(r.BlockTokens)} {
+		if n < 0 || n > maxLoadNumber {
+			return fault.New(fault.Broken, fault.HasRun, "the engine's load report has the number %d, want 0 to %d", n, maxLoadNumber)
+		}
+	}
+	return nil
+}
+
 // Order implements Engine.
 func (c *LinesClient) Order(ctx context.Context, order Order) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -252,6 +264,9 @@
 	var engineError fault.Error
 	data, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
 	if json.Unmarshal(data, &engineError) == nil && engineError.Kind != "" {
+		if engineError.Ran == "" {
+			engineError.Ran = fault.MaybeRun
+		}
 		return nil, fault.WithStack(&engineError)
 	}
 	return nil, fault.New(fault.Broken, fault.MaybeRun, "the engine responded with status %s", response.Status)
--- a/relay/job.go
+++ b/relay/job.go
@@ -55,7 +55,7 @@
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
 	retryCounted  atomic.Bool     // the next retry has been counted against the budget
-	lastEventID   string          // ID of the event after which the stream resumes
+	position      streamPosition  // after which the stream resumes
 	trial         bool            // the request tries a quarantined part of a prompt
 	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
@@ -81,7 +81,7 @@
 // serve sends the request to backend servers until a response has been forwarded
 // or no retry is allowed.
 func (j *job) serve() error {
-	j.lastEventID = j.info.LastEventID
+	j.position = newStreamPosition(j.info.LastEventID)
 	j.parts = j.info.sharedParts()
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
@@ -130,10 +130,14 @@
 // finalError returns the error that is reported to the caller. If a server sent an
 // error response, that is forwarded instead, unless the response to the caller has
 // begun. A request that may have run on one server is never reported as not run,
-// even if the last server refused it.
+// even if the last server refused it, or if a server used a status of that meaning
+// without refusing it.
 func (j *job) finalError(err error) error {
 	e := fault.FromError(err)
 	if e != nil && j.errorResponse != nil && !j.response.headerSent {
+		if impliesNotRun(j.errorResponse.status) && !j.route.Retryable() {
+			return fault.New(fault.Broken, fault.HasRun, "%s", e.Message)
+		}
 		return j.respond(j.errorResponse.status, j.errorResponse.header, j.errorResponse.body)
 	}
 	if e != nil && e.Ran == fault.NotRun && j.executions > 0 {
@@ -176,7 +180,7 @@
 		j.relay.retryBudget.CountRequest(now, j.service)
 	}
 	j.sends++
-	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.lastEventID, PrefixSource: choice.PrefixSource}
+	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.position.lastID, PrefixSource: choice.PrefixSource}
 	if choice.Prefiller != nil {
 		err := j.prefill(choice, &opts)
 		if err != nil {
@@ -335,6 +339,8 @@
 	defer resp.Close()
 	class := j.relay.dialect.Classify(resp.Status, resp.Header)
 	if class == NotRun {
+		// Close doesn't keep a connection whose response wasn't read: the server may
+		// write the refusal again in place of a later response.
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Refused})
 		j.colocated = j.colocated || opts.KVHandle != ""
 		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, resp.Status)
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -59,6 +59,7 @@
 		domain   string
 		script   []string
 		crashOn  string // part of a prompt on which the server ends within the first event of its answer
+		stray    string // written before each response but the first on a connection
 		release  chan struct{}
 		listener net.Listener
 
@@ -292,7 +293,7 @@
 func (s *backendServer) loop(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
-	for {
+	for stray := ""; ; stray = s.stray {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -319,7 +320,7 @@
 		}
 		text, broken := strings.CutSuffix(step, "<cut>")
 		text, drips := strings.CutSuffix(text, "<drip>")
-		if err := writeWithPauses(c, text); err != nil || broken {
+		if err := writeWithPauses(c, stray+text); err != nil || broken {
 			return
 		}
 		for drips {
