Send nothing new to a server that says in a response that it leaves

A backend server that leaves says so in all its responses. Nothing read that, so a relay went on sending to it until control listed it as leaving, which a relay that is cut off from control never learns.

A relay now takes the server out of use, for that start, with the first response that says so, of whatever kind.

--- a/relay/cachesurvey.go
+++ b/relay/cachesurvey.go
@@ -58,7 +58,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !owned(server.ID) {
+		if !owned(server.ID) || !c.relay.placement.HasServer(server.ID) {
 			continue
 		}
 		parts, err := c.list(ctx, server)
@@ -87,6 +87,7 @@
 		return nil, err
 	}
 	defer resp.Close()
+	c.relay.applyNotice(server, resp)
 	body, err := readAll(resp, maxCacheListBytes)
 	if err != nil {
 		return nil, err
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -30,6 +30,9 @@
 		// Classify classifies a backend server's response.
 		Classify(status int, header http.Header) ResponseClass
 
+		// ServerNotice returns what a response says about its server.
+		ServerNotice(status int, header http.Header) ServerNotice
+
 		// CopyResponseHeader copies the header of a backend server's response to
 		// that of the response to the caller.
 		CopyResponseHeader(dst, src http.Header)
@@ -79,6 +82,12 @@
 		Priority     int           // 0 is the highest; negative for none
 	}
 
+	// ServerNotice is what a response says about the server that sent it, apart from
+	// the request.
+	ServerNotice struct {
+		Leaving bool // the server leaves and takes no new requests
+	}
+
 	// ResponseClass is the meaning of a backend server's response.
 	ResponseClass int
 )
--- a/relay/job.go
+++ b/relay/job.go
@@ -334,7 +334,7 @@
 	if s := j.relay.routeView.Service(j.service); s != nil && s.MaxConns > 0 {
 		limit = max(s.MaxConns/int(j.relay.relayCount.Load()+1), 1) // one share is kept free for a relay that joins
 	}
-	return j.relay.upstream.Send(ctx, opts.Server.Address, upstream.Request{
+	resp, err := j.relay.upstream.Send(ctx, opts.Server.Address, upstream.Request{
 		Method:   j.request.Method,
 		Host:     j.request.Host,
 		Path:     j.request.RequestURI,
@@ -343,6 +343,10 @@
 		MaxConns: limit,
 		Match:    func(header http.Header) upstream.Match { return j.relay.dialect.Match(&j.info, header) },
 	})
+	if err == nil {
+		j.relay.applyNotice(opts.Server, resp)
+	}
+	return resp, err
 }
 
 // failureResult returns the result to record for a server after a failed send. If
--- a/roster/merged.go
+++ b/roster/merged.go
@@ -70,6 +70,20 @@
 	return changed
 }
 
+// MarkDraining records that a server has said in a response that it leaves, and
+// reports whether that is new. It has no effect on a server that has restarted since:
+// only the start that said so leaves.
+func (r *Roster) MarkDraining(id string, startedAt int64) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[id]
+	if e == nil || e.server.StartedAt != startedAt || e.server.Draining {
+		return false
+	}
+	e.server.Draining = true
+	return true
+}
+
 // Disconnected records that the connection to a source is lost.
 func (r *Roster) Disconnected(source string) {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -45,7 +46,7 @@
 
 // step executes one line: CONTROL announce ID ADDRESS START SEQ [draining],
 // CONTROL leave ID, CONTROL cut, CONTROL heal, CONTROL restart, or wait
-// DURATION.
+// DURATION. "relay leaving ID START" is a server that says so in a response to the relay.
 func (s *simulation) step(args []string) {
 	if args[0] == "wait" {
 		length, _ := time.ParseDuration(args[1])
@@ -53,6 +54,11 @@
 		s.sync()
 		return
 	}
+	if args[0] == "relay" {
+		startedAt, _ := strconv.ParseInt(args[3], 10, 64)
+		s.roster.MarkDraining(args[2], startedAt)
+		return
+	}
 	control := args[0]
 	if s.registries[control] == nil {
 		s.registries[control] = NewRegistry()
