Send nothing to a server for the pause that it asks for

A backend server that refuses a request with 503 may say for how long it wants no others. Nothing read that: a relay asked it again 50 ms later, and went on while it was the only server, so that callers waited for refusals that were certain.

A relay now sends the server nothing until its pause ends, 5 minutes at most, also no lists of its cache and no releases. If all servers of a service are paused, a request is refused at once and its caller is told when the first pause ends. What isn't a number of seconds is logged, once a second at most, and ignored.

TestPausedServerGetsNoRequests failed before: 5 of 5 requests reached the server, alone and beside another one.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -400,3 +400,43 @@
 		t.Errorf("expected prefill time: got %v, want about %v", got, want)
 	}
 }
+
+// TestPause checks that a server gets no requests while it is paused, also if it is the
+// only one, and that a pause is bounded, only grows and ends with a restart.
+func TestPause(t *testing.T) {
+	servers := []roster.Server{{ID: "a", Service: "ledger", StartedAt: 1}, {ID: "b", Service: "ledger", StartedAt: 1}}
+	table := New()
+	table.SetServers(servers)
+	var got strings.Builder
+	record := func(at time.Duration, what string) {
+		now := start.Add(at)
+		names := map[string]int{}
+		for range 20 {
+			c, err := table.Choose(now, Request{Service: "ledger", TimeLeft: time.Second})
+			if err != nil {
+				names[string(fault.KindOf(err))]++
+				continue
+			}
+			names[serverID(c.Runner)]++
+			c.Cancel(now)
+		}
+		fmt.Fprintf(&got, "%8v %-32s %v, left %v\n", at, what, names, table.PauseLeft(now, "ledger"))
+	}
+	pause := func(at time.Duration, id string, length time.Duration) {
+		applied := table.Pause(start.Add(at), id, length)
+		record(at, fmt.Sprintf("%s paused for %v, applied %v:", id, length, applied))
+	}
+	record(0, "no pause:")
+	pause(0, "a", 2*time.Second)
+	pause(time.Second, "a", 500*time.Millisecond)
+	pause(time.Second, "b", 5*time.Second)
+	record(1900*time.Millisecond, "later:")
+	record(2*time.Second, "a's pause is over:")
+	pause(2*time.Second, "a", 100*time.Hour)
+	record(6*time.Second, "b's pause is over:")
+	servers[0].StartedAt = 2
+	table.SetServers(servers)
+	record(7*time.Second, "a has restarted:")
+	pause(7*time.Second, "unknown", time.Second)
+	golden.Check(t, "pause.golden", got.String())
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -42,7 +42,8 @@
 		errorRate       float64       // moving average as of errorRateAt
 		errorRateAt     time.Time
 		noResponseCount int       // number of requests in a row that got no response
-		backoffUntil    time.Time // the server gets no requests before this time
+		backoffUntil    time.Time // the server gets no requests before this time unless all are in backoff
+		pausedUntil     time.Time // the server gets no requests before this time
 		lastSeen        time.Time // time of its last response; at first, of its first request
 		cache           *prefixCache
 	}
@@ -108,11 +109,45 @@
 	return len(t.byService[service])
 }
 
-// HasServer reports whether a server may still receive requests.
-func (t *Table) HasServer(id string) bool {
+// Accepts reports whether a server may receive requests now.
+func (t *Table) Accepts(now time.Time, id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.servers[id] != nil
+	s := t.servers[id]
+	return s != nil && !now.Before(s.pausedUntil)
+}
+
+// Pause keeps a server from getting requests for a time that it has asked for, up to
+// maxPause. It returns that time, or 0 if the server doesn't get requests for as long
+// already.
+func (t *Table) Pause(now time.Time, id string, length time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	length = min(length, maxPause)
+	if s == nil || !now.Add(length).After(s.pausedUntil) {
+		return 0
+	}
+	s.pausedUntil = now.Add(length)
+	return length
+}
+
+// PauseLeft returns the time until a server of the service may get requests again, if
+// it has servers and all of them are paused. Otherwise it returns 0.
+func (t *Table) PauseLeft(now time.Time, service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var least time.Duration
+	for _, s := range t.byService[service] {
+		left := s.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
 }
 
 // Choose places a request. It returns a fault.Unavailable error if the service
@@ -135,13 +170,13 @@
 }
 
 // candidates returns the servers of the request's service that are neither
-// excluded by the request nor in backoff. If all are in backoff, it returns
-// these.
+// excluded by the request nor paused nor in backoff. If all others are in backoff, it
+// returns these.
 func (t *Table) candidates(now time.Time, req Request) []*server {
 	var candidates, inBackoff []*server
 	for _, s := range t.byService[req.Service] {
 		switch {
-		case req.Excluded[s.ID]:
+		case req.Excluded[s.ID], now.Before(s.pausedUntil):
 		case now.Before(s.backoffUntil):
 			inBackoff = append(inBackoff, s)
 		default:
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -8,6 +8,7 @@
 const (
 	noResponseBackoff    = time.Second           // after a request without a response; doubles with each further one in a row
 	maxNoResponseBackoff = 4 * time.Second       // a server that has recovered is used again within this time
+	maxPause             = 5 * time.Minute       // a server that asks for more is tried again after this time
 	refusalBackoff       = 50 * time.Millisecond // after a refused request; about the time to process a few requests
 
 	queueWaitHalfLife = 150 * time.Millisecond // of a measured queue wait
--- a/relay/cachesurvey.go
+++ b/relay/cachesurvey.go
@@ -58,7 +58,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !owned(server.ID) || !c.relay.placement.HasServer(server.ID) {
+		if !owned(server.ID) || !c.relay.placement.Accepts(time.Now(), server.ID) {
 			continue
 		}
 		parts, err := c.list(ctx, server)
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -85,7 +85,9 @@
 	// ServerNotice is what a response says about the server that sent it, apart from
 	// the request.
 	ServerNotice struct {
-		Leaving bool // the server leaves and takes no new requests
+		Leaving bool          // the server leaves and takes no new requests
+		Pause   time.Duration // for which the server wants no requests of this relay; 0 for none
+		Invalid string        // the text of a pause that can't be used; empty if there is none
 	}
 
 	// ResponseClass is the meaning of a backend server's response.
--- a/relay/job.go
+++ b/relay/job.go
@@ -131,6 +131,9 @@
 	if e != nil && e.Ran == fault.NotRun && j.executions > 0 {
 		return fault.New(fault.Broken, fault.MaybeRun, "%s", e.Message)
 	}
+	if left := j.relay.placement.PauseLeft(time.Now(), j.service); e != nil && left > 0 {
+		j.response.retryAfter = left
+	}
 	return err
 }
 
@@ -192,13 +195,13 @@
 	}
 }
 
-// replaceRunner returns the runner of choice, or another one if that has left or
-// started to drain during the prefill, which may take seconds.
+// replaceRunner returns the runner of choice, or another one if that has left, started
+// to drain or asked for a pause during the prefill, which may take seconds.
 func (j *job) replaceRunner(request placement.Request, choice placement.Choice) (*placement.Ticket, error) {
-	if j.relay.placement.HasServer(choice.Runner.Server.ID) {
+	now := time.Now()
+	if j.relay.placement.Accepts(now, choice.Runner.Server.ID) {
 		return choice.Runner, nil
 	}
-	now := time.Now()
 	choice.Runner.End(now, placement.Outcome{Result: placement.Canceled})
 	return j.relay.placement.ChooseDecoder(now, request, choice.Prefiller.Server)
 }
--- a/relay/kvrelease.go
+++ b/relay/kvrelease.go
@@ -9,9 +9,10 @@
 )
 
 // releaseKV frees the KV cache of a prefill whose request will not be sent. It
-// does so on a worker of the pool and doesn't wait for the result.
+// does so on a worker of the pool and doesn't wait for the result. A server that
+// leaves or is paused is left alone: its cache expires.
 func (j *job) releaseKV(opts SendOptions) {
-	if opts.KVHandle == "" {
+	if opts.KVHandle == "" || !j.relay.placement.Accepts(time.Now(), j.prefillServerID) {
 		return
 	}
 	method, path := j.relay.dialect.KVReleaseRequest(opts.KVHandle)
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -1,9 +1,12 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -60,3 +63,32 @@
 		t.Errorf("got %d requests at the engine that leaves, want %d", got, want)
 	}
 }
+
+// TestPausedServerGetsNoRequests has a backend server refuse a request and ask for a
+// pause. Others must be used for that time. If there are none, requests must be
+// refused at once, with the time after which the server may be asked again.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	const pause = 60 * time.Second
+	refusal := plainResponse(503, "", "Not-Executed: 1", fmt.Sprintf("Retry-After: %.1f", pause.Seconds()))
+	paused := &backendServer{name: "a", script: []string{refusal}}
+	b := newTestbed(t, oneRoute(routes.Idempotent, 1, false), paused)
+	for i := range 5 {
+		got := b.send(http.MethodPost, "/a/", "", "x")
+		status, rest, _ := strings.Cut(got, " Retry-After=")
+		text, _, _ := strings.Cut(rest, " ")
+		seconds, err := strconv.ParseFloat(text, 64)
+		if status != "503" || err != nil || seconds <= 0 || seconds > pause.Seconds() {
+			t.Errorf("request %d: got %s, want status 503 and a Retry-After of up to %v", i, got, pause)
+		}
+	}
+	if got, want := paused.requestCount(), 1; got != want {
+		t.Errorf("got %d requests at the paused server, want %d", got, want)
+	}
+	other := &backendServer{name: "b", script: []string{plainResponse(200, "good")}}
+	other.start(t)
+	b.announce(roster.Server{ID: "b", Service: "assist", Address: other.listener.Addr().String(), StartedAt: 1, Seq: 1, Slots: 8})
+	b.waitFor("the other server is used", func() bool { return strings.HasPrefix(b.send(http.MethodPost, "/a/", "", "x"), "200 ") })
+	if got, want := paused.requestCount(), 1; got != want {
+		t.Errorf("got %d requests at the paused server beside another one, want %d", got, want)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,7 @@
 		stopping      atomic.Bool
 		stopStarted   atomic.Int64 // when Stop was called, in Unix nanoseconds
 		running       atomic.Int64 // requests being handled
+		invalidPause  logInterval
 		relayCount    atomic.Int64 // relays that share the limits, including this one
 		peerListener  wire.Listener
 		peerServer    *wire.Server
