--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,9 +87,8 @@
 		metrics       *relayMetrics
 		callerServer  *gate.Server
 		readyServer   *gate.Server
-		stopping      atomic.Bool
-		stopStarted   atomic.Int64 // when Stop was called, in Unix nanoseconds
-		running       atomic.Int64 // requests being handled
+		stopStarted   atomic.Pointer[time.Time] // when Stop was called; nil before
+		running       atomic.Int64              // requests being handled
 		invalidPause  logInterval
 		relayCount    atomic.Int64 // relays that share the limits, including this one
 		peerListener  wire.Listener
@@ -207,17 +206,13 @@
 // callers keep using open connections until the process exits. From the start it
 // takes only requests that must end by then.
 func (r *Relay) Stop(ctx context.Context) error {
-	r.stopStarted.Store(time.Now().UnixNano())
-	r.stopping.Store(true)
+	start := time.Now()
+	r.stopStarted.Store(&start)
 	r.log.WithField("running", r.running.Load()).WithField("grace", r.settings.GracePeriod.Std().Milliseconds()).Info("stop begins")
 	if wait := r.settings.GracePeriod.Std() - shutdownMargin; wait > 0 {
 		interval.Sleep(ctx, wait)
 	}
-	err := r.callerServer.Stop(ctx)
-	if err != nil {
-		err = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "stop timed out: responses that were still running were cut: %v", err)
-		r.log.WithField("error", fault.FromError(err).Message).Warn("stop timed out")
-	}
+	err := r.stopServing(ctx)
 	_ = r.readyServer.Stop(ctx)
 	r.cancel()
 	r.peerServer.Close()
@@ -227,26 +222,39 @@
 	return err
 }
 
-// mayOutliveRelay reports whether a request that may take until deadline must be
-// refused because it might still be running when the relay exits. Callers whose
+// stopServing ends the server for callers. A stop that runs out of time is an error only
+// if it cuts a response: a connection without a request holds it up as well.
+func (r *Relay) stopServing(ctx context.Context) error {
+	err := r.callerServer.Stop(ctx)
+	running := r.running.Load()
+	if err == nil || running == 0 {
+		return nil
+	}
+	r.log.WithField("running", running).WithField("error", err.Error()).Warn("stop timed out: responses cut")
+	return fault.New(fault.DeadlineExceeded, fault.MaybeRun, "stop timed out: %d responses that were still running were cut: %v", running, err)
+}
+
+// mayOutliveRelay reports whether a request that may take until deadline must not be
+// begun because it might still be running when the relay exits. Callers whose
 // requests are refused reach other relays with their next attempt; a stream that is
 // cut is lost.
 func (r *Relay) mayOutliveRelay(deadline time.Time) bool {
-	if !r.stopping.Load() {
-		return false
-	}
-	end := time.Unix(0, r.stopStarted.Load()).Add(r.settings.GracePeriod.Std() - shutdownMargin)
-	return deadline.After(end)
+	start := r.stopStarted.Load()
+	return start != nil && deadline.After(start.Add(r.settings.GracePeriod.Std()-shutdownMargin))
 }
 
 // stopElapsed returns how long ago Stop was called, and whether it was.
 func (r *Relay) stopElapsed(now time.Time) (time.Duration, bool) {
-	if !r.stopping.Load() {
+	start := r.stopStarted.Load()
+	if start == nil {
 		return 0, false
 	}
-	return now.Sub(time.Unix(0, r.stopStarted.Load())), true
+	return now.Sub(*start), true
 }
 
+// Running returns the number of requests that are being handled.
+func (r *Relay) Running() int { return int(r.running.Load()) }
+
 // Address returns the address on which callers connect.
 func (r *Relay) Address() string { return r.callerServer.Address() }
 
@@ -265,7 +273,7 @@
 // Ready reports whether the relay has received routes and is not stopping.
 func (r *Relay) Ready() bool {
 	_, known := r.routeView.Version()
-	return known && !r.stopping.Load()
+	return known && r.stopStarted.Load() == nil
 }
 
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -18,6 +18,10 @@
 	// time left.
 	defaultRetryAfter = 600 * time.Millisecond
 
+	// stopRetryAfter is the Retry-After time of a relay that is stopping. Other relays
+	// can take the request now, but a load balancer may still choose this one.
+	stopRetryAfter = 50 * time.Millisecond
+
 	// startupWait is how long a request may wait for the first routes. Callers give
 	// up a request that isn't read within a second.
 	startupWait = 600 * time.Millisecond
@@ -32,7 +36,7 @@
 	start := time.Now()
 	r.running.Add(1)
 	defer r.running.Add(-1)
-	if r.stopping.Load() {
+	if r.stopStarted.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{relay: r, request: req, response: newCallerResponse(w), start: start, tried: map[string]bool{}}
@@ -66,9 +70,8 @@
 	}
 	j.info = info
 	j.deadline = j.start.Add(j.timeout())
-	if r.mayOutliveRelay(j.deadline) {
-		j.response.retryAfter = 0 // other relays can take the request now
-		return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
+	if err := j.checkStop(); err != nil {
+		return err
 	}
 	if maxBytes := r.routeView.Limits().MaxBodyBytes; maxBytes > 0 {
 		j.request.Body = http.MaxBytesReader(j.response.w, j.request.Body, maxBytes)
@@ -97,6 +100,16 @@
 	return false
 }
 
+// checkStop returns an error if the request must not be begun because the relay is
+// stopping.
+func (j *job) checkStop() error {
+	if !j.relay.mayOutliveRelay(j.deadline) {
+		return nil
+	}
+	j.response.retryAfter = stopRetryAfter
+	return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
+}
+
 // timeout returns how long the whole response may take: the shorter of the route's
 // timeout and the time that the caller asked for.
 func (j *job) timeout() time.Duration {
