--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -10,6 +10,10 @@
 	"endivedeck.example/upstream"
 )
 
+// maxSharedParts is how many parts of a prompt are logged and judged; callers choose
+// their number.
+const maxSharedParts = 32
+
 // Dialects holds the registered dialects by name.
 var Dialects = kernel.NewRegistry[Dialect]("dialect of requests")
 
@@ -53,9 +57,9 @@
 		// request, as in placement.Part.
 		ParseCacheList(body []byte) ([]uint64, error)
 
-		// LastEventID returns the ID of the last of the complete events, or last if
-		// none of them has an ID.
-		LastEventID(events []byte, last string) string
+		// EventIDs returns the ID of each of the complete events, or an empty one for
+		// an event without. Comments are no events.
+		EventIDs(events []byte) []string
 	}
 
 	// RequestInfo is the information in the header of a caller's request.
@@ -100,3 +104,14 @@
 	Failed                         // the request failed after it ran or may have run
 	NotRun                         // the request has not run and will not
 )
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may
+// share, at most maxSharedParts. The last part belongs to the request alone.
+func (i *RequestInfo) sharedParts() []uint64 {
+	n := min(max(len(i.Prompt)-1, 0), maxSharedParts)
+	ids := make([]uint64, 0, n)
+	for _, part := range i.Prompt[:n] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -17,14 +18,21 @@
 	maxEventBytes     = 1 << 20 // size of an incomplete event
 )
 
+var (
+	errNoEvent    = errors.New("the resumed stream has no event")
+	errNotResumed = errors.New("the resumed stream does not go on after the last event")
+)
+
 // responseForwarder forwards the response of one backend server to the caller.
 type responseForwarder struct {
-	job    *job
-	ticket *placement.Ticket
-	resp   *upstream.Response
-	class  ResponseClass
-	sentAt time.Time
-	cancel context.CancelFunc
+	job      *job
+	ticket   *placement.Ticket
+	resp     *upstream.Response
+	class    ResponseClass
+	sentAt   time.Time
+	cancel   context.CancelFunc
+	begun    bool // a part of the response has been forwarded
+	hasEvent bool // an event of this response has been received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -35,25 +43,30 @@
 	elapsed := time.Since(f.sentAt)
 	if err != nil {
 		f.endTicket(placement.NoResponse, elapsed)
-		return fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		err = fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
+		j.recordServerEnd(f.ticket, err)
+		return err
 	}
 	if f.class == Failed {
 		f.endTicket(placement.Failed, elapsed)
 		j.errorResponse = &errorResponse{status: f.resp.Status, header: f.resp.Header, body: body}
 		return fault.New(fault.Broken, fault.HasRun, "backend server %s responded with status %d", f.ticket.Server.ID, f.resp.Status)
 	}
+	j.recordBegun()
 	f.endTicket(placement.Succeeded, elapsed)
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
 
-// forwardStream forwards the events of a stream as they arrive. If the stream
-// stalls and can be resumed on another server, the request to the server is canceled. Only complete
-// events count as progress: a stalled server may still send a byte now and then.
-// A stream that ends within an event is broken, whatever its framing says.
+// forwardStream forwards the events of a stream as they arrive. If the stream stalls
+// and can be resumed on another server, the request to the server is canceled. Only
+// complete events count as progress: a stalled server may still send a byte now and then.
+// A stream that ends within an event is broken, whatever its framing says, and so is
+// a resumed one without any event, since the caller couldn't tell it from the rest.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	defer stall.stop()
+	resumed := j.response.headerSent
 	splitter := &eventSplitter{}
 	buf := make([]byte, streamBufferBytes)
 	for {
@@ -65,7 +78,15 @@
 		if err == io.EOF && len(bytes.TrimSpace(splitter.partial)) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
-		if forwardErr := f.forwardEvents(complete, err == io.EOF); forwardErr != nil {
+		ids := j.relay.dialect.EventIDs(complete)
+		if resumed && !f.hasEvent && len(ids) > 0 && !j.position.continuedBy(ids[0]) {
+			return f.handleBrokenStream(errNotResumed)
+		}
+		f.hasEvent = f.hasEvent || len(ids) > 0
+		if err == io.EOF && resumed && !f.hasEvent {
+			err = errNoEvent
+		}
+		if forwardErr := f.forwardEvents(complete, ids, err == io.EOF); forwardErr != nil {
 			return forwardErr
 		}
 		switch {
@@ -80,11 +101,15 @@
 
 // forwardEvents writes complete events to the caller. The response header is
 // written together with the first of them, or at the end of an empty stream.
-func (f *responseForwarder) forwardEvents(events []byte, atEOF bool) error {
+func (f *responseForwarder) forwardEvents(events []byte, ids []string, atEOF bool) error {
 	j := f.job
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
+	if !f.begun {
+		f.begun = true
+		j.recordBegun()
+	}
 	if j.timeToFirstByte == 0 {
 		j.timeToFirstByte = time.Since(j.start)
 		f.ticket.ResponseBegun(time.Now(), time.Since(f.sentAt))
@@ -93,7 +118,7 @@
 		f.resp.Header.Del("Content-Length") // wrong if another server resumes the stream
 		j.response.sendHeader(j.relay.dialect, f.resp.Status, f.resp.Header)
 	}
-	j.lastEventID = j.relay.dialect.LastEventID(events, j.lastEventID)
+	j.position.advance(ids)
 	if err := j.response.write(events); err != nil {
 		j.response.aborted = true
 		f.endTicket(placement.Canceled, 0)
@@ -118,12 +143,15 @@
 	if j.ctx.Err() != nil {
 		streamErr = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "deadline passed or request canceled while streaming from backend server %s", f.ticket.Server.ID)
 	}
+	if !f.begun && !errors.Is(err, errNoEvent) && !errors.Is(err, errNotResumed) {
+		j.recordServerEnd(f.ticket, streamErr)
+	}
 	if !j.response.headerSent {
 		return streamErr
 	}
 	// The caller has a part of the stream, so only a server that sends the rest
 	// can complete the response.
-	for j.mayRetry(streamErr) {
+	for j.position.resumable() && j.mayRetry(streamErr) {
 		j.colocated = true
 		j.logRetry(streamErr)
 		attemptErr := j.attempt()
--- a/relay/job.go
+++ b/relay/job.go
@@ -38,6 +38,7 @@
 	request       *http.Request
 	response      *callerResponse
 	info          RequestInfo
+	parts         []uint64 // of the prompt that other requests may share
 	route         *routes.Route
 	routesVersion uint64
 	body          []byte
@@ -45,7 +46,8 @@
 	start         time.Time
 	deadline      time.Time // for the whole response
 	ctx           context.Context
-	done          chan error // receives the result of serve
+	attemptCtx    context.Context // of the latest send
+	done          chan error      // receives the result of serve
 
 	tried         map[string]bool // IDs of the servers that the request was sent to
 	colocated     bool            // prefill and decode must run on the same server
@@ -53,12 +55,15 @@
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
 	retryCounted  atomic.Bool     // the next retry has been counted against the budget
-	lastEventID   string          // ID of the event after which the stream resumes
+	position      streamPosition  // after which the stream resumes
+	trial         bool            // the request tries a quarantined part of a prompt
+	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
 	choice          placement.Choice // the latest
 	serverID        string
+	endedServerID   string // of the latest server that broke the connection before it sent any part of the answer
 	prefillServerID string
 	prefillTime     time.Duration // how long the prefill took on that server
 }
@@ -76,7 +81,8 @@
 // serve sends the request to backend servers until a response has been forwarded
 // or no retry is allowed.
 func (j *job) serve() error {
-	j.lastEventID = j.info.LastEventID
+	j.position = newStreamPosition(j.info.LastEventID)
+	j.parts = j.info.sharedParts()
 	j.service = j.route.PickService(hashFraction(j.info.ID))
 	for {
 		err := j.attempt()
@@ -106,6 +112,8 @@
 		return false
 	case j.sends >= j.route.MaxAttempts+extraSends:
 		return false
+	case j.quarantined, j.repeatsServerEnd(time.Now()):
+		return false
 	case e.Ran != fault.NotRun && (!j.route.Retryable() || j.executions >= j.route.MaxAttempts):
 		return false
 	case j.errorResponse != nil && j.errorResponse.status < http.StatusInternalServerError:
@@ -122,10 +130,14 @@
 // finalError returns the error that is reported to the caller. If a server sent an
 // error response, that is forwarded instead, unless the response to the caller has
 // begun. A request that may have run on one server is never reported as not run,
-// even if the last server refused it.
+// even if the last server refused it, or if a server used a status of that meaning
+// without refusing it.
 func (j *job) finalError(err error) error {
 	e := fault.FromError(err)
 	if e != nil && j.errorResponse != nil && !j.response.headerSent {
+		if impliesNotRun(j.errorResponse.status) && !j.route.Retryable() {
+			return fault.New(fault.Broken, fault.HasRun, "%s", e.Message)
+		}
 		return j.respond(j.errorResponse.status, j.errorResponse.header, j.errorResponse.body)
 	}
 	if e != nil && e.Ran == fault.NotRun && j.executions > 0 {
@@ -158,6 +170,9 @@
 		}
 	}
 	now := time.Now()
+	if err := j.checkParts(now); err != nil {
+		return err
+	}
 	request := j.placementRequest(now)
 	choice, err := j.relay.placement.Choose(now, request)
 	if err != nil {
@@ -168,7 +183,7 @@
 		j.relay.retryBudget.CountRequest(now, j.service)
 	}
 	j.sends++
-	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.lastEventID, PrefixSource: choice.PrefixSource}
+	opts := SendOptions{TimeLeft: time.Until(j.deadline), LastEventID: j.position.lastID, PrefixSource: choice.PrefixSource}
 	if choice.Prefiller != nil {
 		err := j.prefill(choice, &opts)
 		if err != nil {
@@ -179,6 +194,11 @@
 			j.releaseKV(opts)
 			return err
 		}
+		if err := j.checkParts(time.Now()); err != nil {
+			choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Canceled})
+			j.releaseKV(opts)
+			return err
+		}
 	}
 	return j.execute(choice.Runner, opts)
 }
@@ -304,6 +324,7 @@
 	}
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
+	j.attemptCtx = ctx
 	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
 	sentAt := time.Now()
 	resp, err := j.send(ctx, opts)
@@ -312,6 +333,7 @@
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
 		if fault.FromError(err).Ran != fault.NotRun {
 			j.executions++
+			j.recordServerEnd(ticket, err)
 		} else {
 			j.releaseKV(opts)
 		}
@@ -320,6 +342,8 @@
 	defer resp.Close()
 	class := j.relay.dialect.Classify(resp.Status, resp.Header)
 	if class == NotRun {
+		// Close doesn't keep a connection whose response wasn't read: the server may
+		// write the refusal again in place of a later response.
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Refused})
 		j.colocated = j.colocated || opts.KVHandle != ""
 		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, resp.Status)
--- /dev/null
+++ b/sidecar/service_test.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/message"
+)
+
+// repeatingService is a service that writes its first response once more before each
+// later response on the same connection.
+type repeatingService struct{ listener net.Listener }
+
+// run accepts connections until the listener is closed.
+func (s *repeatingService) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(c)
+	}
+}
+
+// loop responds to each request on a connection with its path.
+func (s *repeatingService) loop(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	first := ""
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.RequestURI), r.RequestURI)
+		if _, err := io.WriteString(c, first+response); err != nil {
+			return
+		}
+		if first == "" {
+			first = response
+		}
+	}
+}
+
+// TestLateCopyOfAnswer has a service write the response to a read once more where the
+// response to the next one is due. The next caller must get its own.
+func TestLateCopyOfAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	s := &repeatingService{listener: listener}
+	go s.run()
+	service := newHTTPService(ServiceSettings{Address: listener.Addr().String()})
+	for _, path := range []string{"/first", "/second"} {
+		response, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodGet, Path: path})
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if got, want := string(response.Body), path; got != want {
+			t.Errorf("got the response %q, want %q", got, want)
+		}
+	}
+}
+
+// TestStatusThatIsNone has a service respond with a status that can't be passed on. The
+// caller must get an error, since writing such a status ends the connection without a
+// response.
+func TestStatusThatIsNone(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		s := &oddService{listener: listener, status: status}
+		go s.run()
+		service := newHTTPService(ServiceSettings{Address: listener.Addr().String()})
+		response, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7, IdempotencyKey: "k"})
+		if got, want := fault.KindOf(err), fault.Broken; got != want {
+			t.Errorf("status %s: got %+v and error kind %q, want %q", status, response, got, want)
+		} else if got, want := fault.FromError(err).Ran, fault.HasRun; got != want {
+			t.Errorf("status %s: got ran %s, want %s", status, got, want)
+		}
+	}
+}
+
+// oddService is a service that responds to one request with the given status.
+type oddService struct {
+	listener net.Listener
+	status   string
+}
+
+// run serves one connection.
+func (s *oddService) run() {
+	c, err := s.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok", s.status)
+}
