gate: answer requests that cross a planned stop

Callers saw a POST on a kept connection end with EOF, without an answer, while an entry stopped as planned.

Cause: Drain called SetKeepAlivesEnabled(false), which closes all idle connections at once, also those on which a request is arriving; Shutdown does the same, drops requests whose head is read after it was called, and closes the listener with completed connections in its accept queue. After a response whose head had been sent without "Connection: close" the server closed the connection although the client was free to use it again.

Change: the server tracks what each connection does and never calls Shutdown. While it drains or stops, responses say "Connection: close" and everything that arrives is answered. Stop ignores requests for new connections, accepts what the kernel has completed, closes the listener, and closes a connection only if no request is read or answered on it, it was silent for 200 ms and nothing is in its receive buffer: first for writing, then, once the client has closed it, altogether. A connection whose idle time is over ends in the same way. A request that a client sends on a connection that was silent for longer can still cross its close, as in any HTTP/1.1 server.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,7 +2,8 @@
 //
 // A Server serves one listening address. Its limits protect the process from
 // clients: sizes of headers and bodies, timeouts, and the number of
-// connections. Stop shuts it down gracefully.
+// connections. Stop shuts it down gracefully: a request that arrives on an open
+// connection while it stops is answered.
 package gate
 
 import (
@@ -12,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"endivedeck.example/fault"
@@ -33,10 +35,18 @@
 	// Server is a running HTTP server. Create it with New.
 	Server struct {
 		httpServer *http.Server
-		listener   net.Listener
+		listener   *listener
+		draining   atomic.Bool
 		served     chan struct{} // closed when run has returned
 	}
 
+	// closingWriter announces the end of the connection in a response whose head
+	// is written while the server drains.
+	closingWriter struct {
+		http.ResponseWriter
+		server *Server
+	}
+
 	// deadlineBody is a request body that clears the connection's read
 	// deadline when it has been read to its end. The deadline would otherwise
 	// cancel the request while it is being answered.
@@ -44,18 +54,6 @@
 		io.ReadCloser
 		control *http.ResponseController
 	}
-
-	// limitedListener limits the number of open connections.
-	limitedListener struct {
-		net.Listener
-		slots chan struct{} // holds an element for each open connection and for a pending Accept
-	}
-
-	limitedConn struct {
-		net.Conn
-		slots chan struct{}
-		open  chan struct{} // holds an element until the first Close
-	}
 )
 
 // DefaultLimits returns the limits that apply unless the settings change them.
@@ -73,46 +71,52 @@
 // New listens on address and serves handler there, with TLS if tlsConfig is
 // not nil.
 func New(address string, handler http.Handler, limits Limits, tlsConfig *tls.Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // sockets of Multipath TCP take no filter
+	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, fault.NotRun, "listening on %s: %v", address, err)
 	}
-	limited := &limitedListener{Listener: listener, slots: make(chan struct{}, limits.MaxConns)}
 	s := &Server{
-		listener: limited,
+		listener: newListener(inner.(*net.TCPListener), limits.MaxConns),
 		served:   make(chan struct{}),
-		httpServer: &http.Server{
-			Handler:           withBodyLimits(handler, limits),
-			ReadHeaderTimeout: limits.HeaderTimeout.Std(),
-			IdleTimeout:       limits.IdleTimeout.Std(),
-			MaxHeaderBytes:    limits.MaxHeaderBytes,
-		},
 	}
-	if tlsConfig != nil {
-		s.listener = tls.NewListener(limited, tlsConfig)
+	s.httpServer = &http.Server{
+		Handler:           s.withLimits(handler, limits),
+		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
+		IdleTimeout:       limits.IdleTimeout.Std(),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ConnState:         trackPhase,
 	}
-	go s.run()
+	go s.run(tlsConfig)
 	return s, nil
 }
 
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Stop accepts no new connections and waits for running requests to end. When
-// ctx is done first, it closes the remaining connections and returns an error.
+// Stop closes the listener and waits until all connections are closed. A
+// connection is closed after its next response, or when it has been silent for a
+// moment. When ctx is done first, Stop closes the remaining connections and
+// returns an error.
 func (s *Server) Stop(ctx context.Context) error {
-	err := s.httpServer.Shutdown(ctx)
-	if err != nil {
-		_ = s.httpServer.Close()
+	s.draining.Store(true)
+	s.listener.stop()
+	select {
+	case <-s.listener.gone:
+		<-s.served
+		return nil
+	case <-ctx.Done():
+		s.Close()
+		return ctx.Err()
 	}
-	<-s.served
-	return err
 }
 
-// Drain disables keep-alives and goes on serving for the given time, so that
-// clients reconnect elsewhere before Stop. It returns early when ctx is done.
+// Drain goes on serving for the given time, so that clients connect elsewhere
+// before Stop. Responses announce that their connections will be closed. Drain
+// returns early when ctx is done.
 func (s *Server) Drain(ctx context.Context, duration time.Duration) {
-	s.httpServer.SetKeepAlivesEnabled(false)
+	s.draining.Store(true)
 	interval.Sleep(ctx, duration)
 }
 
@@ -122,17 +126,57 @@
 	<-s.served
 }
 
-// run serves until the server is shut down or its listener fails.
-func (s *Server) run() {
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.announce()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.announce()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the underlying writer to http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *closingWriter) announce() {
+	if w.server.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// run serves until the listener is closed. If it failed, it closes the
+// connections too.
+func (s *Server) run(tlsConfig *tls.Config) {
 	defer close(s.served)
-	err := s.httpServer.Serve(s.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	var outer net.Listener = s.listener
+	if tlsConfig != nil {
+		outer = tls.NewListener(s.listener, tlsConfig)
+	}
+	if err := s.httpServer.Serve(outer); !errors.Is(err, net.ErrClosed) {
 		_ = s.httpServer.Close()
 	}
 }
 
-// withBodyLimits limits the size of a request's body and the time to read it.
-func withBodyLimits(handler http.Handler, limits Limits) http.Handler {
+// trackPhase tells a connection whether a request is being answered on it.
+func trackPhase(c net.Conn, state http.ConnState) {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	tracked, ok := c.(*conn)
+	switch {
+	case !ok:
+	case state == http.StateActive:
+		tracked.setPhase(active)
+	case state == http.StateIdle:
+		tracked.setPhase(waiting)
+	}
+}
+
+// withLimits limits the size of a request's body and the time to read it.
+func (s *Server) withLimits(handler http.Handler, limits Limits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 		if r.ContentLength != 0 {
@@ -140,7 +184,7 @@
 			_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
 			r.Body = &deadlineBody{ReadCloser: r.Body, control: control}
 		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(&closingWriter{ResponseWriter: w, server: s}, r)
 	})
 }
 
@@ -152,29 +196,6 @@
 	return n, err
 }
 
-// Accept waits until the number of open connections is below the limit and
-// then accepts one.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	open := make(chan struct{}, 1)
-	open <- struct{}{}
-	return &limitedConn{Conn: conn, slots: l.slots, open: open}, nil
-}
-
-func (c *limitedConn) Close() error {
-	select {
-	case <-c.open:
-		<-c.slots
-	default:
-	}
-	return c.Conn.Close()
-}
-
 // ReadBody reads a request's body. It returns fault.TooLarge if the body
 // exceeds the limit, and fault.Malformed if it is incomplete.
 func ReadBody(r *http.Request) ([]byte, error) {
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -26,7 +26,7 @@
 	Backend                    // sidecar: state of its backend server, and sent orders
 	Order                      // sidecar: entries that receive grants; entry: order attempts to be resolved
 	Stream                     // sidecar: resumable streams
-	Connection                 // wire: connections to other processes; upstream: connections to backend servers
+	Connection                 // wire: connections to other processes; upstream: connections to backend servers; gate: connections of callers
 	Standin                    // standin: state of a stand-in for a backend server
 	Pool                       // pool: queue of the worker pool
 	Telemetry                  // kernel: metrics and log sinks
