gate, entry: report what happened on callers' connections at a stop

A reader of an entry's log could not tell a request that was cut by the stop from one that crossed the close of a silent connection, nor see that requests came while the entry drained. gate.Server counts all three, and an entry writes one line when it stops: answered, crossed and aborted.

The test's server takes a connection for quiet after a second, so that a pause of a busy machine between two steps doesn't end it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,11 +154,14 @@
 
 // Stop implements kernel.Role. The health check fails, so that the load
 // balancer stops sending requests; after Settings.DrainTime the listener closes,
-// and Stop waits for the running requests to finish.
+// and Stop waits for the running requests to finish. Until then everything that
+// arrives is answered.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.executor.startDraining()
 	e.server.Drain(ctx, e.settings.DrainTime.Std())
 	err := e.server.Stop(ctx)
+	report := e.server.Report()
+	e.log.WithFields(logrus.Fields{"answered": report.Answered, "crossed": report.Crossed, "aborted": report.Aborted}).Info("connections of callers closed")
 	e.disconnect(ctx)
 	return err
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -32,11 +32,20 @@
 		IdleTimeout    settings.Duration `json:"idleTime" range:"1s..1h"`
 	}
 
+	// Report counts what happened since a Server began to drain or stop.
+	Report struct {
+		Answered int // requests
+		Crossed  int // connections on which bytes arrived after the server had closed them
+		Aborted  int // connections that were open when the time to stop was over
+	}
+
 	// Server is a running HTTP server. Create it with New.
 	Server struct {
 		httpServer *http.Server
 		listener   *listener
 		draining   atomic.Bool
+		answered   atomic.Int64
+		aborted    atomic.Int64
 		served     chan struct{} // closed when run has returned
 	}
 
@@ -107,11 +116,21 @@
 		<-s.served
 		return nil
 	case <-ctx.Done():
+		s.aborted.Store(int64(s.listener.openCount()))
 		s.Close()
 		return ctx.Err()
 	}
 }
 
+// Report returns what happened since Drain or Stop was called.
+func (s *Server) Report() Report {
+	return Report{
+		Answered: int(s.answered.Load()),
+		Crossed:  int(s.listener.crossed.Load()),
+		Aborted:  int(s.aborted.Load()),
+	}
+}
+
 // Drain goes on serving for the given time, so that clients connect elsewhere
 // before Stop. Responses announce that their connections will be closed. Drain
 // returns early when ctx is done.
@@ -185,6 +204,9 @@
 			r.Body = &deadlineBody{ReadCloser: r.Body, control: control}
 		}
 		handler.ServeHTTP(&closingWriter{ResponseWriter: w, server: s}, r)
+		if s.draining.Load() {
+			s.answered.Add(1)
+		}
 	})
 }
 
--- a/gate/listener.go
+++ b/gate/listener.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,9 @@
 		slots chan struct{} // holds an element for each open connection and for a pending Accept
 		gone  chan struct{} // closed once a stopping listener and all of its connections are closed
 
+		quietTime time.Duration // longer in a test
+		crossed   atomic.Int64  // see Report
+
 		mu      rank.Mutex
 		conns   map[*conn]bool
 		stopped time.Time // when the server began to stop
@@ -69,6 +73,7 @@
 		TCPListener: inner,
 		slots:       make(chan struct{}, maxConns),
 		gone:        make(chan struct{}),
+		quietTime:   quietTime,
 		mu:          rank.New(rank.Connection),
 		conns:       map[*conn]bool{},
 	}
@@ -183,6 +188,12 @@
 	return true
 }
 
+func (l *listener) openCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // checkGone closes gone if nothing is left. l.mu must be locked.
 func (l *listener) checkGone() {
 	if l.stopped.IsZero() || !l.closed || len(l.conns) > 0 {
@@ -259,7 +270,10 @@
 		return // closed already
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed
-	_, _ = io.Copy(io.Discard, c.TCPConn)                     // fails only if the client doesn't close the connection
+	n, _ := io.Copy(io.Discard, c.TCPConn)                    // fails only if the client doesn't close the connection
+	if n > 0 {
+		c.listener.crossed.Add(1)
+	}
 }
 
 // Close implements net.Conn.
@@ -319,7 +333,7 @@
 	}
 	t := c.deadline
 	if !c.stopped.IsZero() && c.phase != active {
-		limit := c.last.Add(quietTime)
+		limit := c.last.Add(c.listener.quietTime)
 		if c.phase == receiving {
 			limit = latest(c.last, c.stopped).Add(headTime)
 		}
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -219,14 +219,23 @@
 			s.stop(0)
 			c.receiveEnd()
 		}},
+		{"an idle connection that is used after its end", 10, func(s *stopTest, c *testConn) {
+			c.send(wholeRequest)
+			c.receive()
+			s.stop(0)
+			c.receiveEnd()
+			c.send(wholeRequest)
+		}},
 	} {
 		s := newStopTest(t, test.connections)
+		s.server.listener.quietTime = time.Second // for pauses of a busy machine
 		fmt.Fprintf(&s.log, "%s\n", test.name)
 		test.play(s, s.dial())
 		s.stopping.Wait()
 		if s.stopErr != nil {
 			t.Errorf("%s: got stop error %v, want none", test.name, s.stopErr)
 		}
+		fmt.Fprintf(&s.log, "  %+v\n", s.server.Report())
 		got.WriteString(s.log.String())
 	}
 	golden.Check(t, "stop.golden", got.String())
@@ -344,5 +353,8 @@
 	if got, want := s.server.Stop(ctx), context.DeadlineExceeded; got != want {
 		t.Errorf("got stop error %v, want %v", got, want)
 	}
+	if got, want := s.server.Report(), (Report{Aborted: 1}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
 	close(s.released)
 }
