entry: resolve a lost order whose end could not be recorded

Callers got "pending, ran: unknown" for an order that had never run, each time they sent it again, until its record's retention was over.

Cause: when a call was lost and the sidecar's recorded shutdown proved that the order did not run, proveNotSent recorded that itself. If no leader was reachable for recordTimeout, it returned false and forgot the attempt: the caller was told that the order may have run, and nobody tried again.

Evidence: TestUnrecordedAttemptIsDropped failed before with 'got "refused: pending, ran: unknown" for the order sent again, want "done"; got 0 executions, want 1'.

Change: recordFinish itself leaves to the resolver what it could not record, for both of its callers. An attempt that control rejects is logged.

Result: the test passes, as does the package.

--- a/entry/call.go
+++ b/entry/call.go
@@ -165,7 +165,6 @@
 	// the caller is told that the outcome is unknown.
 	finish := order.Finish{Key: record.Key, BeginIndex: record.BeginIndex, NotRun: true}
 	if err := x.recordFinish(finish); err != nil {
-		x.resolver.add(finish, nil)
 		return response, fault.New(fault.Unavailable, fault.MaybeRun, "recording that the order did not run failed: %s; send it again with the same idempotency key", fault.FromError(err).Message)
 	}
 	return response, err
@@ -309,7 +308,8 @@
 }
 
 // recordFinish records the outcome of an order. The request is idempotent and
-// is repeated for up to recordTimeout, even if the caller disconnects.
+// is repeated for up to recordTimeout, even if the caller disconnects, and then
+// left to the resolver.
 func (x *Executor) recordFinish(finish order.Finish) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
@@ -320,6 +320,7 @@
 			return fault.WithStack(reply.Error)
 		}
 		if !interval.Sleep(ctx, orderRetryInterval) {
+			x.resolver.add(finish, nil)
 			return err
 		}
 	}
--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -59,6 +59,7 @@
 		index            uint64
 		dropBeginReplies bool // orders are begun, the reply is lost and control is then not the leader
 		notLeader        bool
+		rejectFinishes   bool // as if no leader were reachable
 	}
 
 	// fakeEngine emulates an engine and its sidecar. Its answers have
@@ -168,6 +169,12 @@
 	f.notLeader = notLeader
 }
 
+func (f *fakeControl) setRejectFinishes(reject bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rejectFinishes = reject
+}
+
 func (f *fakeControl) renew(call *wire.ServerCall) {
 	var request message.RenewRequest
 	if err := call.Decode(&request); err != nil {
@@ -233,7 +240,7 @@
 func (f *fakeControl) finish(finish order.Finish) (order.FinishResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.notLeader {
+	if f.notLeader || f.rejectFinishes {
 		return order.FinishResult{}, fault.New(fault.Unavailable, fault.NotRun, "not the leader")
 	}
 	finish.At = time.Now()
--- a/entry/fence.go
+++ b/entry/fence.go
@@ -34,7 +34,11 @@
 		x.resolver.add(finish, ticket)
 	case fenceSidecarRestarted:
 		finish.Sidecar = ticket.Incarnation
-		return x.recordFinish(finish) == nil // control accepts it only after an orderly shutdown of that sidecar
+		err := x.recordFinish(finish) // control accepts it only after an orderly shutdown of that sidecar
+		if err != nil {
+			x.entry.log.WithField("customer", key.Customer).WithField("error", err.Error()).Warn("an attempt couldn't be given up")
+		}
+		return err == nil
 	}
 	return false
 }
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -86,3 +86,25 @@
 	})
 	golden.Check(t, "abandoned_order.golden", text.String())
 }
+
+// TestUnrecordedAttemptIsDropped checks that an idempotency key can be used again
+// after a call was lost, the sidecar was restarted and its recorded shutdown proves
+// that the order did not run, but no leader was reachable to record that.
+func TestUnrecordedAttemptIsDropped(t *testing.T) {
+	withTestEnvServers(t, []string{serviceServer, secondServiceServer}, func(env *testEnv) {
+		env.sidecar.restarted = true
+		env.control.store.RecordShutdown(order.SidecarShutdown{Sidecar: "1", At: time.Now()})
+		env.control.setRejectFinishes(true)
+		env.network.BlackholeConns("entry-1", serviceServer)
+		env.network.BlackholeConns("entry-1", secondServiceServer)
+		first := env.sendOrder("key-1")
+		env.control.setRejectFinishes(false)
+		interval.Sleep(env.t.Context(), 2*recordTimeout)
+		if got, want := env.sendOrder("key-1"), "done"; got != want {
+			t.Errorf("got %q for the order sent again after %q, want %q", got, first, want)
+		}
+		if got, want := env.sidecar.executions["key-1"], 1; got != want {
+			t.Errorf("got %d executions, want %d", got, want)
+		}
+	})
+}
