entry: wait for orders that are being resolved when an entry stops

An order that had not run stayed pending after a planned stop of the entry that was giving it up: callers that sent it again got "pending, ran: unknown" until its record's retention was over.

Cause: while resolveAll works on the attempts, the list of pending ones is empty, so drain returned at once and the entry disconnected. An attempt that needed a second try was dropped.

Evidence: TestDrainForgetsRunningResolution failed before with "got record <nil> after draining, want an abandoned attempt".

Change: attempts that are being resolved count as pending.

--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -60,6 +60,7 @@
 		dropBeginReplies bool // orders are begun, the reply is lost and control is then not the leader
 		notLeader        bool
 		rejectFinishes   bool // as if no leader were reachable
+		finishTime       time.Duration
 	}
 
 	// fakeEngine emulates an engine and its sidecar. Its answers have
@@ -238,6 +239,7 @@
 }
 
 func (f *fakeControl) finish(finish order.Finish) (order.FinishResult, error) {
+	interval.Sleep(context.Background(), f.finishTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.notLeader || f.rejectFinishes {
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -108,3 +108,20 @@
 		}
 	})
 }
+
+// TestDrainForgetsRunningResolution checks that an entry that stops waits for an
+// attempt that is being resolved, also if it must be tried again.
+func TestDrainForgetsRunningResolution(t *testing.T) {
+	withTestEnv(t, func(env *testEnv) {
+		env.control.finishTime = 300 * time.Millisecond
+		env.control.setRejectFinishes(true)
+		key := order.Key{Customer: testCustomer, Service: testService, Key: "key-1"}
+		env.entry.executor.resolver.add(order.Finish{Key: key, NotRun: true, Attempt: "1"}, nil)
+		interval.Sleep(env.t.Context(), 100*time.Millisecond)
+		time.AfterFunc(500*time.Millisecond, func() { env.control.setRejectFinishes(false) })
+		env.entry.executor.resolver.drain(env.t.Context())
+		if got := env.control.store.Records[key]; got == nil || got.State != order.Abandoned {
+			t.Errorf("got record %+v after draining, want an abandoned attempt", got)
+		}
+	})
+}
--- a/entry/resolver.go
+++ b/entry/resolver.go
@@ -24,11 +24,12 @@
 	// their callers have received an error. Until that is recorded, the
 	// idempotency key of such an attempt can't be used again.
 	resolver struct {
-		entry   *Entry
-		mu      rank.Mutex
-		pending []*unresolvedAttempt
-		wake    chan struct{}
-		done    chan struct{}
+		entry     *Entry
+		mu        rank.Mutex
+		pending   []*unresolvedAttempt
+		resolving bool // attempts that were pending
+		wake      chan struct{}
+		done      chan struct{}
 
 		disabled bool // set by tests that check that the resolver is needed
 	}
@@ -90,6 +91,7 @@
 	r.mu.Lock()
 	attempts := r.pending
 	r.pending = nil
+	r.resolving = true
 	r.mu.Unlock()
 	var unresolved []*unresolvedAttempt
 	for _, a := range attempts {
@@ -100,6 +102,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pending = append(unresolved, r.pending...)
+	r.resolving = false
 	return len(r.pending) > 0
 }
 
@@ -129,7 +132,7 @@
 	return true
 }
 
-// drain waits until no attempts are pending, for at most resolveTimeout.
+// drain waits until all attempts are resolved, for at most resolveTimeout.
 func (r *resolver) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
@@ -140,5 +143,5 @@
 func (r *resolver) hasPending() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.pending) > 0
+	return r.resolving || len(r.pending) > 0
 }
