--- a/cmd/endivedeck/failure_test.go
+++ b/cmd/endivedeck/failure_test.go
@@ -114,7 +114,7 @@
 		c.failures = append(c.failures, fmt.Sprintf("%s refused: %s: %v", time.Now().UTC().Format(clockFormat), kind, err))
 	default:
 		c.truncated++
-		c.failures = append(c.failures, fmt.Sprintf("truncated: %s: %v", kind, err))
+		c.failures = append(c.failures, fmt.Sprintf("%s truncated: %s: %v", time.Now().UTC().Format(clockFormat), kind, err))
 	}
 }
 
