--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -86,3 +86,42 @@
 	})
 	golden.Check(t, "abandoned_order.golden", text.String())
 }
+
+// TestUnrecordedAttemptIsDropped checks that an idempotency key can be used again
+// after a call was lost, the sidecar was restarted and its recorded shutdown proves
+// that the order did not run, but no leader was reachable to record that.
+func TestUnrecordedAttemptIsDropped(t *testing.T) {
+	withTestEnvServers(t, []string{serviceServer, secondServiceServer}, func(env *testEnv) {
+		env.sidecar.restarted = true
+		env.control.store.RecordShutdown(order.SidecarShutdown{Sidecar: "1", At: time.Now()})
+		env.control.setRejectFinishes(true)
+		env.network.BlackholeConns("entry-1", serviceServer)
+		env.network.BlackholeConns("entry-1", secondServiceServer)
+		first := env.sendOrder("key-1")
+		env.control.setRejectFinishes(false)
+		interval.Sleep(env.t.Context(), 2*recordTimeout)
+		if got, want := env.sendOrder("key-1"), "done"; got != want {
+			t.Errorf("got %q for the order sent again after %q, want %q", got, first, want)
+		}
+		if got, want := env.sidecar.executions["key-1"], 1; got != want {
+			t.Errorf("got %d executions, want %d", got, want)
+		}
+	})
+}
+
+// TestDrainForgetsRunningResolution checks that an entry that stops waits for an
+// attempt that is being resolved, also if it must be tried again.
+func TestDrainForgetsRunningResolution(t *testing.T) {
+	withTestEnv(t, func(env *testEnv) {
+		env.control.finishTime = 300 * time.Millisecond
+		env.control.setRejectFinishes(true)
+		key := order.Key{Customer: testCustomer, Service: testService, Key: "key-1"}
+		env.entry.executor.resolver.add(order.Finish{Key: key, NotRun: true, Attempt: "1"}, nil)
+		interval.Sleep(env.t.Context(), 100*time.Millisecond)
+		time.AfterFunc(500*time.Millisecond, func() { env.control.setRejectFinishes(false) })
+		env.entry.executor.resolver.drain(env.t.Context())
+		if got := env.control.store.Records[key]; got == nil || got.State != order.Abandoned {
+			t.Errorf("got record %+v after draining, want an abandoned attempt", got)
+		}
+	})
+}
