Count servers that end at the same moment as half, not as one

Cause: ends at one moment counted as a single one however many servers ended, even where no server ended without the part. Now each further one counts half. A rack that is lost is told by its ends under requests without the part (pattern rack, unchanged).

--- a/internal/prompts/quarantine/judge.go
+++ b/internal/prompts/quarantine/judge.go
@@ -71,7 +71,7 @@
 // suffices if it did for any run of the ends: those before and after it may have other
 // causes.
 func (p *part) stateFor(ends []datedEnd, times []time.Time) State {
-	if countMoments(ends) < minSuspectEnds {
+	if weigh(ends) < minSuspectEnds {
 		return Sound
 	}
 	if p.others < minOthers {
@@ -93,19 +93,19 @@
 	for _, end := range run {
 		servers[end.server] = true
 	}
-	moments := countMoments(run)
-	if len(servers) < minServers && moments < minEndsOneServer {
+	weight := weigh(run)
+	if len(servers) < minServers && weight < minEndsOneServer {
 		return false
 	}
 	from, _ := slices.BinarySearchFunc(times, run[0].at, time.Time.Compare)
 	until, _ := slices.BinarySearchFunc(times, run[len(run)-1].at.Add(1), time.Time.Compare)
 	foreign := until - from - len(run)
-	return moments >= minEnds+foreign/foreignPerEnd
+	return weight >= minEnds+foreign/foreignPerEnd
 }
 
-// countMoments returns the number of ends, oldest first, where ends at the same moment
-// count as one.
-func countMoments(ends []datedEnd) int {
+// weigh returns how many ends the given ones, oldest first, count for. Each further end
+// at the same moment counts half: it may have the same cause.
+func weigh(ends []datedEnd) int {
 	moments := 0
 	var counted time.Time
 	for _, end := range ends {
@@ -114,5 +114,5 @@
 			counted = end.at
 		}
 	}
-	return moments
+	return moments + (len(ends)-moments)/2
 }
--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -8,8 +8,8 @@
 // request with it last began. A part is quarantined for a run of ends that no begun
 // answer interrupts, unless another part with more ends explains them or it was
 // present at few of the ends of that time. Answers to other requests must have begun
-// meanwhile, or the servers may all be ending. Servers that end at the same moment, as
-// in the loss of a rack, count as one.
+// meanwhile, or the servers may all be ending. Further servers that end at the same
+// moment, as in the loss of a rack, count half.
 //
 // Relays exchange evidence. A union of sets is idempotent, so messages may arrive
 // twice, late or in any order, and all relays come to the same verdict.
