Take a stream without framing that ends before its first event for broken

Callers got an empty stream that looked complete when a server ended after the head of an answer that has neither a length nor chunks, and the end counted as an answer that had begun, which cleared the part of the prompt that may have caused it.

Such a stream is broken now: the request goes to another server where it may, and the end counts as one. TestServerEndAfterHead failed before (200, empty and complete).

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -60,8 +60,9 @@
 // forwardStream forwards the events of a stream as they arrive. If the stream stalls
 // and can be resumed on another server, the request to the server is canceled. Only
 // complete events count as progress: a stalled server may still send a byte now and then.
-// A stream that ends within an event is broken, whatever its framing says, and so is
-// a resumed one without any event, since the caller couldn't tell it from the rest.
+// A stream that ends within an event is broken, whatever its framing says. So is one
+// without any event if it is resumed, since the caller couldn't tell it from the rest, or
+// if its end is that of the connection.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
@@ -83,8 +84,12 @@
 			return f.handleBrokenStream(errNotResumed)
 		}
 		f.hasEvent = f.hasEvent || len(ids) > 0
-		if err == io.EOF && resumed && !f.hasEvent {
+		switch {
+		case err != io.EOF || f.hasEvent:
+		case resumed:
 			err = errNoEvent
+		case !f.resp.Framed():
+			err = io.ErrUnexpectedEOF
 		}
 		if forwardErr := f.forwardEvents(complete, ids, err == io.EOF); forwardErr != nil {
 			return forwardErr
@@ -106,7 +111,7 @@
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
-	if !f.begun {
+	if !f.begun && len(events) > 0 {
 		f.begun = true
 		j.recordBegun()
 	}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -92,3 +92,22 @@
 		t.Errorf("got %d more servers ended under a relay that has just started, want none", got-before)
 	}
 }
+
+// TestServerEndAfterHead has servers end after the head of a stream that ends with its
+// connection. That is neither a complete answer nor one that has begun.
+func TestServerEndAfterHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	alone := newTestbed(t, oneRoute(routes.Stream, 2, true), &backendServer{name: "a", script: []string{head + "<cut>"}})
+	if got, want := alone.send(http.MethodPost, "/a/", chatHeader, "x"), `502 "broken\n" complete`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	b := newTestbed(t, oneRoute(routes.Stream, 2, true),
+		&backendServer{name: "a", domain: "near", script: []string{head + "<cut>"}},
+		&backendServer{name: "b", domain: "elsewhere", script: []string{head + event(1) + event(2) + "<cut>"}})
+	b.waitFor("a server has ended after the head", func() bool {
+		if got := b.send(http.MethodPost, "/a/", "", "x"); got != wholeAnswer {
+			t.Errorf("got %s, want %s", got, wholeAnswer)
+		}
+		return b.servers[0].requestCount() > 0
+	})
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -203,6 +203,12 @@
 	return n, err
 }
 
+// Framed reports whether the framing gives the end of the body. A body without framing
+// ends with the connection, also if the server broke off.
+func (r *Response) Framed() bool {
+	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
+}
+
 // Close ends the exchange. The connection goes back to the pool if the whole
 // request was written, the body was read to its end and the server allows reuse.
 // Otherwise it is closed, so that the server stops working on the request.
@@ -214,8 +220,7 @@
 	r.closed = true
 	r.stopCancel()
 	c := r.conn
-	framed := r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
-	if !r.atEOF || !framed || r.response.Close || !r.write.succeeded() {
+	if !r.atEOF || !r.Framed() || r.response.Close || !r.write.succeeded() {
 		c.close()
 		<-r.write.done
 		return
