--- a/relay/job.go
+++ b/relay/job.go
@@ -143,6 +143,9 @@
 	if e != nil && e.Ran == fault.NotRun && j.executions > 0 {
 		return fault.New(fault.Broken, fault.MaybeRun, "%s", e.Message)
 	}
+	if left := j.relay.placement.PauseLeft(time.Now(), j.service); e != nil && left > 0 {
+		j.response.retryAfter = left
+	}
 	return err
 }
 
@@ -217,13 +220,13 @@
 	}
 }
 
-// replaceRunner returns the runner of choice, or another one if that has left or
-// started to drain during the prefill, which may take seconds.
+// replaceRunner returns the runner of choice, or another one if that has left, started
+// to drain or asked for a pause during the prefill, which may take seconds.
 func (j *job) replaceRunner(request placement.Request, choice placement.Choice) (*placement.Ticket, error) {
-	if j.relay.placement.HasServer(choice.Runner.Server.ID) {
+	now := time.Now()
+	if j.relay.placement.Accepts(now, choice.Runner.Server.ID) {
 		return choice.Runner, nil
 	}
-	now := time.Now()
 	choice.Runner.End(now, placement.Outcome{Result: placement.Canceled})
 	return j.relay.placement.ChooseDecoder(now, request, choice.Prefiller.Server)
 }
@@ -363,7 +366,7 @@
 	if s := j.relay.routeView.Service(j.service); s != nil && s.MaxConns > 0 {
 		limit = max(s.MaxConns/int(j.relay.relayCount.Load()+1), 1) // one share is kept free for a relay that joins
 	}
-	return j.relay.upstream.Send(ctx, opts.Server.Address, upstream.Request{
+	resp, err := j.relay.upstream.Send(ctx, opts.Server.Address, upstream.Request{
 		Method:   j.request.Method,
 		Host:     j.request.Host,
 		Path:     j.request.RequestURI,
@@ -372,6 +375,10 @@
 		MaxConns: limit,
 		Match:    func(header http.Header) upstream.Match { return j.relay.dialect.Match(&j.info, header) },
 	})
+	if err == nil {
+		j.relay.applyNotice(opts.Server, resp)
+	}
+	return resp, err
 }
 
 // failureResult returns the result to record for a server after a failed send. If
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,7 +92,8 @@
 		readyServer   *gate.Server
 		stopStarted   atomic.Pointer[time.Time] // when Stop was called; nil before
 		running       atomic.Int64              // requests being handled
-		relayCount    atomic.Int64              // relays that share the limits, including this one
+		invalidPause  logInterval
+		relayCount    atomic.Int64 // relays that share the limits, including this one
 		peerListener  wire.Listener
 		peerServer    *wire.Server
 		ctx           context.Context
