End a query as broken after two engines ended under it

What callers saw: on the entries' path a query that ends the engine which gets it was sent on from engine to engine. All others lost the engines, and their answers with them.

Cause: the attempts of a query and the engines already tried start anew with each token that arrives, and a stream that the sidecar had reported as broken off was asked for again at the same engine. Nothing counted the engines that ended under a query, and an end of an engine looked to the entry like a lost connection to its sidecar.

Change: a dialect marks an error with EngineEnded if the engine broke the connection over which it had got the request (fault.EngineEnd; a new optional field of the error between processes). Refusals, error statuses, damaged lines, gaps and failed dials aren't marked. The entry doesn't ask the same engine again after an end, and after the second end under a query (maxEngineEnds) the answer ends as broken, ran unknown, whatever tokens came in between. One log line tells it; "routing: another backend server" has the count as `ends`.

What else differs: after one engine's end the query goes to another engine at once, where it was first sent to the same one again. Two engines that end by chance under one query now end it. Older sidecars don't send the mark; their queries have no bound.

The crashes of TestSoak's engines aren't marked, so TestSoak doesn't play the bound.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,8 +20,9 @@
 	Engine interface {
 		// Generate runs a request and calls yield with each chunk of the
 		// answer, in order, until the answer is complete. An error with Ran
-		// NotRun means that the engine has not started. If yield returns an
-		// error, Generate stops and returns that error.
+		// NotRun means that the engine has not started, one with EngineEnded
+		// that it broke the connection before the end of the answer. If yield
+		// returns an error, Generate stops and returns that error.
 		Generate(ctx context.Context, request message.GenerateRequest, yield func(message.Chunk) error) error
 
 		// Cancel aborts the generation of an answer.
--- a/engine/generation.go
+++ b/engine/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -106,6 +107,9 @@
 		watchdog.Reset(silenceTimeout)
 		var line streamLine
 		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			if isTruncated(scanner.Bytes()) {
+				return fault.EngineEnd("the engine's stream ended within a line (next token: %d)", g.nextOffset)
+			}
 			return fault.New(fault.Broken, fault.MaybeRun, "decoding a line of the engine's stream: %v", err)
 		}
 		if err := g.yield(message.Chunk(line)); err != nil {
@@ -119,8 +123,18 @@
 		}
 	}
 	err := scanner.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
+		return fault.New(fault.Broken, fault.MaybeRun, "reading the engine's stream: %v (next token: %d)", err, g.nextOffset)
+	}
 	if err == nil {
 		err = errors.New("unexpected end of stream")
 	}
-	return fault.New(fault.Broken, fault.MaybeRun, "reading the engine's stream: %v (next token: %d)", err, g.nextOffset)
+	return fault.EngineEnd("reading the engine's stream: %v (next token: %d)", err, g.nextOffset)
+}
+
+// isTruncated reports whether line is the beginning of a JSON value. The scanner
+// returns such a line when the stream ends within it.
+func isTruncated(line []byte) bool {
+	var value json.RawMessage
+	return errors.Is(json.NewDecoder(bytes.NewReader(line)).Decode(&value), io.ErrUnexpectedEOF)
 }
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -273,11 +273,12 @@
 }
 
 // sendError returns a fault for an error of http.Client.Do. Only a failed dial
-// proves that the engine did not receive the request.
+// proves that the engine did not receive the request. After any other error the
+// connection is lost.
 func sendError(err error) error {
 	var opError *net.OpError
 	if errors.As(err, &opError) && opError.Op == "dial" {
 		return fault.New(fault.Unavailable, fault.NotRun, "connecting to the engine: %v", err)
 	}
-	return fault.New(fault.Broken, fault.MaybeRun, "calling the engine: %v", err)
+	return fault.EngineEnd("calling the engine: %v", err)
 }
--- a/engine/lines_test.go
+++ b/engine/lines_test.go
@@ -19,7 +19,8 @@
 
 // scriptedEngine is an engine that responds to each request with the next step of a
 // script: the text of a response, or "hang" to send nothing more until the client
-// closes the connection. A text may end with "<hang>" for the same after it.
+// closes the connection. A text may end with "<hang>" for the same after it, or with
+// "<end>" for the end of the connection.
 type scriptedEngine struct {
 	listener net.Listener
 	stray    string // written before each response but the first on a connection
@@ -64,7 +65,8 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		text, hangs := strings.CutSuffix(e.nextStep(r), "<hang>")
+		text, ends := strings.CutSuffix(e.nextStep(r), "<end>")
+		text, hangs := strings.CutSuffix(text, "<hang>")
 		if _, err := io.WriteString(c, stray+text); err != nil {
 			return
 		}
@@ -72,6 +74,9 @@
 			_, _ = in.ReadByte() // returns when the client closes the connection
 			return
 		}
+		if ends {
+			return
+		}
 	}
 }
 
@@ -87,6 +92,11 @@
 	return step
 }
 
+// chunked returns the beginning of a response that breaks off after text.
+func chunked(text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+}
+
 // response returns a response with a length.
 func response(status int, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
@@ -132,7 +142,7 @@
 	refusal := response(503, `{"kind":"overloaded","ran":"no","text":"full"}`)
 	unknown := response(404, `{"kind":"not_found","ran":"no","text":"no such stream"}`)
 	line := `{"id":"one","offset":0,"tokens":1,"text":"a"}` + "\n"
-	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n<hang>", len(line), line)
+	begun := chunked(line) + "<hang>"
 	for _, c := range []struct {
 		name   string
 		script []string
@@ -160,7 +170,7 @@
 // answer must not look complete.
 func TestErrorTextInAnswer(t *testing.T) {
 	line := `{"id":"one","offset":0,"tokens":1,"text":"a"}` + "\n"
-	begun := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n<hang>", len(line), line)
+	begun := chunked(line) + "<hang>"
 	for _, c := range []struct{ name, next string }{
 		{"empty", response(200, "")},
 		{"no content", "HTTP/1.1 204 No Content\r\n\r\n"},
@@ -180,6 +190,50 @@
 	}
 }
 
+// TestEndedEngineIsReported has an engine break the connection over which it got a
+// request, and checks that this is told apart from refusals and damaged answers.
+func TestEndedEngineIsReported(t *testing.T) {
+	line := `{"id":"one","offset":0,"tokens":1,"text":"a"}` + "\n"
+	for _, c := range []struct {
+		name   string
+		script []string
+		want   bool
+	}{
+		{"before the head", []string{"<end>"}, true},
+		{"within the head", []string{"HTTP/1.1 200 OK\r\nTransfer-<end>"}, true},
+		{"before a token", []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n<end>"}, true},
+		{"after a token", []string{chunked(line) + "<end>"}, true},
+		{"within a line", []string{chunked(line+line[:20]) + "<end>"}, true},
+		{"after a token, as a complete response", []string{response(200, line)}, true},
+		{"after silence", []string{chunked(line) + "<hang>", "<end>"}, true},
+		{"refusal", []string{response(503, `{"kind":"overloaded","ran":"no","text":"full"}`)}, false},
+		{"refusal that claims it", []string{response(502, `{"kind":"broken","EngineEnded":true}`)}, false},
+		{"error status", []string{response(500, "")}, false},
+		{"damaged line", []string{chunked("}\n") + "<hang>"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScriptedEngine(t, c.script...)
+			discard := func(message.Chunk) error { return nil }
+			err := engine.NewLinesClient(s.listener.Addr().String()).Generate(t.Context(), message.GenerateRequest{ID: "one", MaxTokens: 8}, discard)
+			if err == nil {
+				t.Fatal("got a complete answer, want an error")
+			}
+			if got := fault.FromError(err).EngineEnded; got != c.want {
+				t.Errorf("got engine ended %v for %v, want %v", got, err, c.want)
+			}
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		s := newScriptedEngine(t)
+		_ = s.listener.Close()
+		err := engine.NewLinesClient(s.listener.Addr().String()).Generate(t.Context(), message.GenerateRequest{ID: "one"}, nil)
+		if err == nil || fault.FromError(err).EngineEnded {
+			t.Errorf("got %v, want an error that reports no ended engine", err)
+		}
+	})
+}
+
 // TestOddLoadReport has an engine report load that no engine has. Entries add up the
 // load of all engines, so such a report must not get to them.
 func TestOddLoadReport(t *testing.T) {
--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -68,6 +68,17 @@
 	fakeEngine struct {
 		mu       sync.Mutex
 		requests int
+		breaks   *engineBreaks // nil for none
+	}
+
+	// engineBreaks makes engines break off the answers to the next requests that
+	// any of them receives.
+	engineBreaks struct {
+		mu     sync.Mutex
+		left   int     // requests that are still to be broken off
+		tokens int     // that each of them yields before
+		errs   []error // what the sidecars report in turn; nil to close the stream
+		count  int     // requests that were broken off
 	}
 
 	// fakeSidecar counts the executions of each order by its service.
@@ -273,7 +284,7 @@
 		_, err = env.entry.executor.Query(env.t.Context(), q, &got)
 	}
 	if err != nil {
-		return "failed with " + string(fault.KindOf(err)) + " after: " + got.text
+		return "failed with " + string(fault.KindOf(err)) + ", ran " + string(fault.FromError(err).Ran) + ", after: " + got.text
 	}
 	return "complete: " + got.text
 }
@@ -307,17 +318,48 @@
 	}
 	f.mu.Lock()
 	f.requests++
+	breaks := f.breaks
 	f.mu.Unlock()
-	f.sendChunks(call, request.ID, request.Offset)
+	if breaks != nil {
+		if ok, breakErr := breaks.take(); ok {
+			f.sendChunks(call, request.ID, request.Offset, request.Offset+breaks.tokens, breakErr)
+			return
+		}
+	}
+	f.sendChunks(call, request.ID, request.Offset, answerChunks, nil)
+}
+
+// take reports whether the next request is to be broken off, and with which error,
+// and counts it.
+func (b *engineBreaks) take() (ok bool, breakErr error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left == 0 {
+		return false, nil
+	}
+	breakErr = b.errs[b.count%len(b.errs)]
+	b.left--
+	b.count++
+	return true, breakErr
 }
 
-func (f *fakeEngine) sendChunks(call *wire.ServerCall, id string, offset int) {
+// sendChunks sends the chunks of an answer from offset on. It breaks off at
+// breakOffset, with an error unless breakErr is nil.
+func (f *fakeEngine) sendChunks(call *wire.ServerCall, id string, offset, breakOffset int, breakErr error) {
+	if offset == breakOffset {
+		if breakErr != nil {
+			call.Fail(breakErr)
+		} else {
+			call.End()
+		}
+		return
+	}
 	chunk := message.Chunk{ID: id, Offset: offset, Tokens: 1, Text: fmt.Sprintf("%d ", offset), Final: offset == answerChunks-1}
 	if call.Send(chunk) != nil || chunk.Final {
 		call.End()
 		return
 	}
-	time.AfterFunc(chunkInterval, func() { f.sendChunks(call, id, offset+1) })
+	time.AfterFunc(chunkInterval, func() { f.sendChunks(call, id, offset+1, breakOffset, breakErr) })
 }
 
 func (f *fakeSidecar) handlers() map[string]wire.Handler {
--- a/entry/query.go
+++ b/entry/query.go
@@ -20,6 +20,10 @@
 	cancelTimeout       = time.Second
 	chooseRetryInterval = 100 * time.Millisecond
 	maxStaleRetries     = 8
+
+	// maxEngineEnds is the number of engines that may end under one query. The
+	// first may end by chance; after the second, the query is taken for the cause.
+	maxEngineEnds = 2
 )
 
 // queryExecution is the state of a running query: what has been generated, and
@@ -40,6 +44,7 @@
 	generated    strings.Builder // text so far, from which another engine continues
 	mayHaveRun   bool            // an engine may have started on the query
 	staleRetries int             // times that a sidecar already had a newer contract
+	engineEnds   int             // engines that ended under the query
 }
 
 // Query executes a query and passes the generated tokens to out. It returns
@@ -98,7 +103,8 @@
 // query may be executed more than once, so each server continues where the
 // previous one failed. Settings.MaxAttempts limits only consecutive attempts
 // without new tokens. Once the query may have run, waiting for a backend server
-// does not count either, because the time limits of the contract bound it.
+// does not count either, because the time limits of the contract bound it. New
+// tokens don't excuse the ends of engines: maxEngineEnds bounds all of them.
 func (q *queryExecution) run(ctx context.Context) (Usage, error) {
 	var lastErr error
 	for attempt := 0; attempt < q.executor.entry.settings.MaxAttempts; attempt++ {
@@ -144,8 +150,16 @@
 		if !isRetryable(err) {
 			return q.usage, lastErr
 		}
-		q.executor.entry.log.WithField("request", q.query.ID).WithField("backend", ticket.Name).
-			WithField("given", q.usage.AnswerTokens).WithField("error", err.Error()).Warn("routing: another backend server")
+		if fault.FromError(err).EngineEnded {
+			q.engineEnds++
+		}
+		log := q.executor.entry.log.WithField("request", q.query.ID).WithField("backend", ticket.Name).
+			WithField("given", q.usage.AnswerTokens).WithField("ends", q.engineEnds).WithField("error", err.Error())
+		if q.engineEnds >= maxEngineEnds {
+			log.Warn("routing: no further backend server, engines ended under the request")
+			return q.usage, lastErr
+		}
+		log.Warn("routing: another backend server")
 	}
 	return q.usage, lastErr
 }
@@ -192,16 +206,17 @@
 // generateAt generates the answer, or the rest of it, on one backend server.
 // When the connection to the sidecar is lost, it resumes the stream there as
 // long as each resumption yields new tokens. If the sidecar has no such stream,
-// because the query was lost with the connection, the query is sent again.
+// because the query was lost with the connection, the query is sent again, but
+// not if the engine ended under it.
 func (q *queryExecution) generateAt(ctx context.Context, ticket *fleet.Ticket) error {
 	err := q.stream(ctx, ticket, false)
-	for fault.KindOf(err) == fault.Broken && ctx.Err() == nil {
+	for fault.KindOf(err) == fault.Broken && !fault.FromError(err).EngineEnded && ctx.Err() == nil {
 		tokensBefore := q.usage.AnswerTokens
 		resumeErr := q.stream(ctx, ticket, true)
 		if fault.KindOf(resumeErr) == fault.NotFound {
 			resumeErr = q.stream(ctx, ticket, false)
 		}
-		if resumeErr == nil || fault.KindOf(resumeErr) == fault.Canceled || fault.KindOf(resumeErr) == fault.DeadlineExceeded {
+		if endsResumption(resumeErr) {
 			err = resumeErr
 			break
 		}
@@ -216,6 +231,13 @@
 	return err
 }
 
+// endsResumption reports whether the result of a resumed stream replaces that of
+// the connection that was lost before.
+func endsResumption(err error) bool {
+	e := fault.FromError(err)
+	return e == nil || e.Kind == fault.Canceled || e.Kind == fault.DeadlineExceeded || e.EngineEnded
+}
+
 // stream opens one call to the sidecar and receives chunks of the answer until
 // it ends. With resume it continues a stream that the sidecar still has.
 func (q *queryExecution) stream(ctx context.Context, ticket *fleet.Ticket, resume bool) error {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -87,6 +87,10 @@
 		// RedirectAddress is the address of the process to which the request
 		// should be sent instead, if known.
 		RedirectAddress string `cbor:"4,keyasint,omitempty" json:"-"`
+
+		// EngineEnded tells that an engine broke its connection while it had the
+		// request, as engines do that crash.
+		EngineEnded bool `cbor:"5,keyasint,omitempty" json:"-"`
 	}
 )
 
@@ -102,6 +106,13 @@
 	return eris.Wrap(&Error{Kind: Unavailable, Ran: NotRun, Message: message, RedirectAddress: address}, "")
 }
 
+// EngineEnd returns an error of kind Broken for an engine that broke the
+// connection over which it had received a request.
+func EngineEnd(format string, args ...any) error {
+	message := fmt.Sprintf(format, args...)
+	return eris.Wrap(&Error{Kind: Broken, Ran: MaybeRun, Message: message, EngineEnded: true}, "")
+}
+
 // WithStack adds a stack trace to an error received from another process. It
 // returns nil for nil.
 func WithStack(e *Error) error {
