Answer a repeated fence request as the first one

Callers saw: an order whose call was lost, and whose fence request was answered but the reply lost too, was taken for sent. The caller was told "pending" and its idempotency key stayed blocked, though nothing had run. Cause: the sidecar marks sent and fenced orders alike, so it answered the repetition of a fence request with "sent". Entries repeat a fence request by themselves when its first call fails, and so does the resolver. Evidence: TestRepeatedFenceSaysSent failed, order 7 "sent" at the second request. Change: a fenced order is marked as such; a fence says "sent" only for orders that were handed to the service. Result: the test passes; a fenced order still can't be sent.

--- a/sidecar/servicecall.go
+++ b/sidecar/servicecall.go
@@ -25,6 +25,7 @@
 type sentOrder struct {
 	sentAt   time.Time // when it was sent or fenced
 	resolved bool      // its outcome is recorded, or it certainly did not run
+	fenced   bool      // it was not sent and never will be
 }
 
 // serveCall serves message.MethodServiceCall.
@@ -165,9 +166,18 @@
 		return message.FenceResponse{}, fault.New(fault.NotFound, fault.MaybeRun,
 			"the order was passed to sidecar incarnation %s, this is %s", request.Incarnation, s.incarnation)
 	}
-	notSent := s.markSent(request.BeginIndex, time.Now())
-	if notSent {
-		s.markResolved(request.BeginIndex)
+	return message.FenceResponse{Sent: !s.fence(request.BeginIndex)}, nil
+}
+
+// fence fences an order, and reports whether it was not sent and never will be.
+func (s *Sidecar) fence(beginIndex uint64) bool {
+	added := s.markSent(beginIndex, time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if added {
+		sent := s.sentOrders[beginIndex]
+		sent.resolved, sent.fenced = true, true
+		s.sentOrders[beginIndex] = sent
 	}
-	return message.FenceResponse{Sent: !notSent}, nil
+	return s.sentOrders[beginIndex].fenced
 }
