Start one stream for copies of a request that arrive together

Callers would see: an answer whose tokens were replaced or came late, and engine time spent twice on one request, when an entry sends a request again over a new connection while its first copy is still on its way. Cause: attachOrStart looked for a stream, let go of the lock and then added one, so two copies could both find none. The second replaced the first in the table, and both ran at the engine. Change: after admission, the look and the addition are one step under the table's lock; a copy that comes second reads the stream of the first.

--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -103,13 +103,17 @@
 	if err := t.sidecar.admit(request.Customer, request.Revision); err != nil {
 		return nil, 0, err
 	}
-	s := t.add(request)
+	s, reader, added := t.attachOrAdd(request)
+	if !added {
+		t.sidecar.release()
+		return s, reader, nil
+	}
 	if err := t.sidecar.host.Pool.Submit(pool.Task(s)); err != nil {
 		t.remove(s)
 		t.sidecar.release()
 		return nil, 0, err
 	}
-	return s, s.latestReader, nil
+	return s, reader, nil
 }
 
 // attach makes the caller the reader of the stream with the request's ID. It
@@ -121,16 +125,28 @@
 	if s == nil {
 		return nil, 0
 	}
+	return s, s.addReader()
+}
+
+// addReader adds a reader, which replaces earlier ones, and returns its number. The
+// caller must hold streamTable.mu.
+func (s *stream) addReader() int {
 	s.latestReader++
 	s.hasReader = true
 	s.notifyReaders()
-	return s, s.latestReader
+	return s.latestReader
 }
 
-// add adds a stream for a new request, with its first reader.
-func (t *streamTable) add(request message.GenerateRequest) *stream {
+// attachOrAdd adds a stream for a new request, with its first reader. If another call
+// with the request has added it meanwhile, the caller becomes its reader.
+func (t *streamTable) attachOrAdd(request message.GenerateRequest) (s *stream, reader int, added bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[request.ID]; s != nil {
+		return s, s.addReader(), false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.TimeLeft)
-	s := &stream{
+	s = &stream{
 		table:        t,
 		request:      request,
 		ctx:          ctx,
@@ -141,10 +157,8 @@
 		startedAt:    time.Now(),
 		updated:      make(chan struct{}),
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.byID[request.ID] = s
-	return s
+	return s, s.latestReader, true
 }
 
 // remove cancels a stream and removes it.
