Don't go on with a retained answer whose start the entry doesn't have

Callers would see: an answer put together from two engines' different texts, or one with tokens missing at the sidecar, which the entry reports as broken and retries. If the entry has gone on at another engine meanwhile and comes back, the sidecar sent what it retained from the entry's offset on, whatever text came before, and skipped a chunk that the offset lies within. Change: a request attaches only if its offset is the end of a chunk and its text is that of the answer up to there; otherwise it is "not found, may have run", upon which the entry takes another sidecar. Unless it was a resumption, the retained stream is dropped.

--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"endivedeck.example/fault"
@@ -90,8 +91,8 @@
 // attachOrStart returns the stream with the request's ID, or starts it, and the
 // number of the new reader.
 func (t *streamTable) attachOrStart(request message.GenerateRequest) (*stream, int, error) {
-	if s, reader := t.attach(request); s != nil {
-		return s, reader, nil
+	if s, reader, err := t.attach(request); s != nil || err != nil {
+		return s, reader, err
 	}
 	if request.Resume {
 		return nil, 0, fault.New(fault.NotFound, fault.MaybeRun, "no stream to resume for request %s", request.ID)
@@ -103,10 +104,10 @@
 	if err := t.sidecar.admit(request.Customer, request.Revision); err != nil {
 		return nil, 0, err
 	}
-	s, reader, added := t.attachOrAdd(request)
+	s, reader, added, err := t.attachOrAdd(request)
 	if !added {
 		t.sidecar.release()
-		return s, reader, nil
+		return s, reader, err
 	}
 	if err := t.sidecar.host.Pool.Submit(pool.Task(s)); err != nil {
 		t.remove(s)
@@ -118,32 +119,59 @@
 
 // attach makes the caller the reader of the stream with the request's ID. It
 // returns nil if there is none.
-func (t *streamTable) attach(request message.GenerateRequest) (*stream, int) {
+func (t *streamTable) attach(request message.GenerateRequest) (*stream, int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[request.ID]
 	if s == nil {
-		return nil, 0
+		return nil, 0, nil
 	}
-	return s, s.addReader()
+	reader, err := s.addReader(request)
+	return s, reader, err
 }
 
-// addReader adds a reader, which replaces earlier ones, and returns its number. The
-// caller must hold streamTable.mu.
-func (s *stream) addReader() int {
+// addReader adds a reader, which replaces earlier ones, and returns its number. It
+// fails if the tokens that the entry has received aren't those at the start of this
+// answer, because another engine generated some: the rest would not fit them. The stream
+// is then removed, but not by a resumption: the entry would ask for a new one at once,
+// which the cancellation of the old one could end. The caller must hold streamTable.mu.
+func (s *stream) addReader(request message.GenerateRequest) (int, error) {
+	if !s.startsWith(request.Offset, request.ReceivedText) {
+		if !request.Resume {
+			delete(s.table.byID, s.request.ID)
+			s.cancel()
+		}
+		return 0, fault.New(fault.NotFound, fault.MaybeRun, "the stream retained for request %s doesn't start with the %d tokens received", request.ID, request.Offset)
+	}
 	s.latestReader++
 	s.hasReader = true
 	s.notifyReaders()
-	return s.latestReader
+	return s.latestReader, nil
+}
+
+// startsWith reports whether a chunk of the answer ends at offset and the text before
+// it is received. The caller must hold streamTable.mu.
+func (s *stream) startsWith(offset int, received string) bool {
+	rest, ok := strings.CutPrefix(received, s.request.ReceivedText)
+	next := s.request.Offset
+	for _, chunk := range s.chunks {
+		if !ok || next >= offset {
+			break
+		}
+		rest, ok = strings.CutPrefix(rest, chunk.Text)
+		next += chunk.Tokens
+	}
+	return ok && rest == "" && next == offset
 }
 
 // attachOrAdd adds a stream for a new request, with its first reader. If another call
 // with the request has added it meanwhile, the caller becomes its reader.
-func (t *streamTable) attachOrAdd(request message.GenerateRequest) (s *stream, reader int, added bool) {
+func (t *streamTable) attachOrAdd(request message.GenerateRequest) (s *stream, reader int, added bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.byID[request.ID]; s != nil {
-		return s, s.addReader(), false
+		reader, err := s.addReader(request)
+		return s, reader, false, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.TimeLeft)
 	s = &stream{
@@ -158,7 +186,7 @@
 		updated:      make(chan struct{}),
 	}
 	t.byID[request.ID] = s
-	return s, s.latestReader, true
+	return s, s.latestReader, true, nil
 }
 
 // remove cancels a stream and removes it.
