Don't pass on a chunk over the limit of an answer

Callers saw: more tokens than they had asked for, when an engine sent too many, and then an error or an attempt at another engine from an offset past the limit. Cause: appendChunk stored the chunk before it compared with the limit, so a reader could fetch it with the error. Evidence: TestChunkOverLimitIsStored failed: 2 chunks for the reader. Change: the limit is looked at first. Result: the test passes: the reader gets the chunk before the excess, and the error.

--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -250,15 +250,15 @@
 	if chunk.Offset > s.nextOffset {
 		return fault.New(fault.Broken, fault.MaybeRun, "gap in the engine's stream: want offset %d, got %d", s.nextOffset, chunk.Offset)
 	}
+	if tokens := s.nextOffset + chunk.Tokens; tokens > s.request.MaxTokens {
+		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens, limit %d", tokens, s.request.MaxTokens)
+	}
 	s.lastTokenAt = time.Now()
 	if s.firstTokenAt.IsZero() {
 		s.firstTokenAt = s.lastTokenAt
 	}
 	s.chunks = append(s.chunks, chunk)
 	s.nextOffset += chunk.Tokens
-	if s.nextOffset > s.request.MaxTokens {
-		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens, limit %d", s.nextOffset, s.request.MaxTokens)
-	}
 	s.ended = s.ended || chunk.Final
 	s.notifyReaders()
 	return nil
