Drop the split of a late renewal

Callers would see: more requests admitted than their contract allows, or fewer, until the next renewal. Cause: ApplyRenewal dropped an earlier leader's list of backend servers but applied its split of the limits. Evidence: TestLateSplitIsApplied failed: the split of term 8 was in use after that of term 9. Change: the split goes by the term, like the list. Result: the test passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,11 +206,10 @@
 }
 
 // ApplyRenewal implements member.Holder. A late response of an earlier leader
-// changes neither the contracts, whose revision only advances, nor the list of
-// backend servers, which is dropped if its term is older.
+// doesn't change the contracts, whose revision only advances. Its split of the limits
+// and its list of backend servers are dropped.
 func (e *Entry) ApplyRenewal(response message.RenewResponse) {
 	e.contracts.Advance(response.Revision, response.Contracts)
-	e.admission.SetSplit(admission.Split{Entries: response.EntryCount, Index: response.EntryIndex})
 	e.mu.Lock()
 	stale := response.Term < e.term
 	if !stale {
@@ -220,7 +219,11 @@
 		e.fleetVersion = response.Fleet.Version
 	}
 	e.mu.Unlock()
-	if !stale && response.Fleet != nil {
+	if stale {
+		return
+	}
+	e.admission.SetSplit(admission.Split{Entries: response.EntryCount, Index: response.EntryIndex})
+	if response.Fleet != nil {
 		e.grants.update(response.Fleet.Backends)
 	}
 }
