Don't report a caller that disconnected as a missed deadline

Operators saw: queries counted and logged with the outcome "deadline" whose callers had left while they waited. Cause: checkMayContinue took every end of the context for the deadline. Evidence: TestDisconnectIsCalledDeadline failed for the disconnect. Change: a context that was canceled gives "canceled". Result: the test passes, with "not run" as before in both cases.

--- a/entry/query.go
+++ b/entry/query.go
@@ -194,6 +194,9 @@
 }
 
 func (q *queryExecution) checkMayContinue(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return q.withEarlierAttempts(fault.New(fault.Canceled, fault.NotRun, "the caller disconnected"))
+	}
 	if ctx.Err() != nil {
 		return q.withEarlierAttempts(fault.New(fault.DeadlineExceeded, fault.NotRun, "the deadline for the complete answer has passed"))
 	}
