Cancel an abandoned answer also while all workers are busy

Callers would see: engines busy for up to 10 s with answers that nobody waits for, most of all under overload. Cause: the request to cancel was queued behind callers' requests, and lost without a word if the backlog was full. Change: if the pool refuses it, it is sent beside the pool.

--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -68,6 +68,7 @@
 	fakeEngine struct {
 		mu       sync.Mutex
 		requests int
+		cancels  int
 		breaks   *engineBreaks // nil for none
 	}
 
@@ -293,10 +294,17 @@
 	return map[string]wire.Handler{
 		message.MethodGrants:   wire.HandlerFunc(f.grants),
 		message.MethodGenerate: wire.HandlerFunc(f.generate),
-		message.MethodCancel:   wire.HandlerFunc(func(call *wire.ServerCall) { call.Reply(message.Empty{}) }),
+		message.MethodCancel:   wire.HandlerFunc(f.cancel),
 	}
 }
 
+func (f *fakeEngine) cancel(call *wire.ServerCall) {
+	f.mu.Lock()
+	f.cancels++
+	f.mu.Unlock()
+	call.Reply(message.Empty{})
+}
+
 func (f *fakeEngine) grants(call *wire.ServerCall) {
 	grant := message.Grant{Incarnation: "1", Duration: 3 * grantInterval, Models: []string{testModel}, Load: message.Load{Capacity: 8}}
 	if call.Send(grant) != nil {
--- a/entry/query.go
+++ b/entry/query.go
@@ -350,7 +350,9 @@
 // stops the generation by itself after a time without a reader.
 func (q *queryExecution) cancelAtSidecar(ticket *fleet.Ticket) {
 	task := &cancelTask{client: q.executor.entry.client, address: ticket.Address, id: q.query.ID}
-	_ = q.executor.entry.host.Pool.Submit(task)
+	if err := q.executor.entry.host.Pool.Submit(task); err != nil {
+		go task.run() // a busy fleet must not generate what nobody waits for
+	}
 }
 
 type cancelTask struct {
@@ -360,7 +362,10 @@
 }
 
 // Run implements pool.Task.
-func (t *cancelTask) Run() {
+func (t *cancelTask) Run() { t.run() }
+
+// run sends the request. It takes cancelTimeout at most.
+func (t *cancelTask) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	_ = t.client.Call(ctx, t.address, message.MethodCancel, message.CancelRequest{ID: t.id}, nil)
