Go by a newer contract's priority and first-token limit

Callers would see: a query that a sidecar refused for a newer contract, and that was sent again under it, served with the old priority and routed by the old limit for the first token. Cause: adoptNewerContract replaced the contract and the class, but not what the routing request had copied from them. Evidence: TestNewerContractKeepsOldValues failed: priority 0 instead of 5, limit 0 instead of 1 s. Change: both are set anew. The deadline for the whole answer stays that of the contract that the query was admitted under. Result: the test passes.

--- a/entry/query.go
+++ b/entry/query.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"endivedeck.example/admission"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/fleet"
@@ -29,13 +30,14 @@
 // queryExecution is the state of a running query: what has been generated, and
 // on which backend servers it has been tried.
 type queryExecution struct {
-	executor  *Executor
-	query     Query
-	accepted  contract.Accepted
-	class     contract.Class
-	out       TokenWriter
-	deadline  time.Time
-	startedAt time.Time
+	executor    *Executor
+	query       Query
+	accepted    contract.Accepted
+	class       contract.Class
+	reservation admission.Reservation
+	out         TokenWriter
+	deadline    time.Time // by the contract that the query was admitted under
+	startedAt   time.Time
 
 	selector     fleet.Selector
 	routeRequest routing.Request
@@ -72,15 +74,16 @@
 	class := accepted.Contract.Classes[q.Class]
 	now := time.Now()
 	execution := &queryExecution{
-		executor:  x,
-		query:     q,
-		accepted:  accepted,
-		class:     class,
-		out:       out,
-		startedAt: now,
-		deadline:  now.Add(class.WholeAnswer.Std()),
-		selector:  selector,
-		tried:     map[string]bool{},
+		executor:    x,
+		query:       q,
+		accepted:    accepted,
+		class:       class,
+		reservation: reservation,
+		out:         out,
+		startedAt:   now,
+		deadline:    now.Add(class.WholeAnswer.Std()),
+		selector:    selector,
+		tried:       map[string]bool{},
 		routeRequest: routing.Request{
 			ID:            q.ID,
 			Customer:      accepted.Contract.Customer,
@@ -190,6 +193,8 @@
 	}
 	q.accepted = accepted
 	q.class = class
+	q.routeRequest.Priority = q.reservation.Priority(class.Priority)
+	q.routeRequest.TTFTLimit = class.FirstToken.Std()
 	return true
 }
 
