Mark an empty stream as a stream of events

Callers saw: an answer without a token, asked for as a stream, came as text/plain, which clients of event streams refuse to read. Cause: the headers were set with the first token only. Evidence: TestEmptyStreamHasNoContentType failed. Change: they are set before the first event, whichever it is. Result: the test passes.

--- a/chat/writer.go
+++ b/chat/writer.go
@@ -39,13 +39,18 @@
 	d := &delta{Content: text}
 	if !w.started {
 		d.Role = "assistant"
-		w.dst.Header().Set("Content-Type", "text/event-stream")
-		w.dst.Header().Set("Cache-Control", "no-store")
-		w.started = true
+		w.startStream()
 	}
 	return w.writeEvent(w.chunk(d, text, nil, nil))
 }
 
+// startStream sets the headers of a stream of events.
+func (w *responseWriter) startStream() {
+	w.dst.Header().Set("Content-Type", "text/event-stream")
+	w.dst.Header().Set("Cache-Control", "no-store")
+	w.started = true
+}
+
 // finish ends the response. An error after the first event is sent as another
 // event, without the terminator of the stream, so that the caller can tell a
 // truncated response from a complete one.
@@ -56,6 +61,9 @@
 	case err != nil:
 		_ = w.writeEvent(entry.NewErrorResponse(err))
 	case w.stream:
+		if !w.started {
+			w.startStream()
+		}
 		reason := used.FinishReason
 		_ = w.writeEvent(w.chunk(&delta{}, "", &reason, newUsage(used)))
 		_, _ = w.dst.Write([]byte(streamTerminator))
