Name the field of a token limit that is out of range

Callers saw: a refusal about max_tokens though they had sent max_completion_tokens. Cause: one message for both fields. Evidence: TestErrorNamesOtherField failed. Change: the message names the field that counts. Result: the test passes.

--- a/chat/chat.go
+++ b/chat/chat.go
@@ -156,7 +156,7 @@
 	case !isChat && request.Prompt == "":
 		return request, fault.New(fault.Malformed, fault.NotRun, "prompt: the field is required")
 	case maxTokensOf(request) < 1 || maxTokensOf(request) > maxTokensLimit:
-		return request, fault.New(fault.Malformed, fault.NotRun, "max_tokens: must be 1 to %d, got %d", maxTokensLimit, maxTokensOf(request))
+		return request, fault.New(fault.Malformed, fault.NotRun, "%s: must be 1 to %d, got %d", maxTokensField(request), maxTokensLimit, maxTokensOf(request))
 	}
 	return request, nil
 }
@@ -171,6 +171,14 @@
 	return defaultMaxTokens
 }
 
+// maxTokensField returns the name of the field that maxTokensOf goes by.
+func maxTokensField(request completionRequest) string {
+	if request.MaxCompletionTokens != 0 {
+		return "max_completion_tokens"
+	}
+	return "max_tokens"
+}
+
 // buildPrompt joins the messages of a conversation into one prompt. The prompt
 // of each turn starts with that of the previous one, so that the prefix cache of
 // an engine can be used.
