Keep an order unaccounted for when its repetition finds no service

Callers would see: "not run" for an order that may have run, after its sidecar stopped as planned. Cause: an order whose call to the service broke off may be repeated at a service with service.dedupe. If the repetition found no connection, the sidecar marked the order resolved, since the repetition hadn't run, and left it out of the orders that its shutdown report can't account for. Evidence: TestFailedRepetitionResolvesOrder failed. Change: only the first attempt's "not run" resolves an order. Result: the test passes.

--- a/sidecar/servicecall.go
+++ b/sidecar/servicecall.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	response, err := s.service.Call(ctx, request)
 	if err != nil {
-		if request.BeginIndex != 0 && fault.FromError(err).Ran == fault.NotRun {
+		if request.BeginIndex != 0 && !request.MayHaveRun && fault.FromError(err).Ran == fault.NotRun {
 			s.markResolved(request.BeginIndex)
 		}
 		call.Fail(err)
