--- a/entry/query.go
+++ b/entry/query.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"endivedeck.example/admission"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/fleet"
@@ -29,13 +30,14 @@
 // queryExecution is the state of a running query: what has been generated, and
 // on which backend servers it has been tried.
 type queryExecution struct {
-	executor  *Executor
-	query     Query
-	accepted  contract.Accepted
-	class     contract.Class
-	out       TokenWriter
-	deadline  time.Time
-	startedAt time.Time
+	executor    *Executor
+	query       Query
+	accepted    contract.Accepted
+	class       contract.Class
+	reservation admission.Reservation
+	out         TokenWriter
+	deadline    time.Time // by the contract that the query was admitted under
+	startedAt   time.Time
 
 	selector     fleet.Selector
 	routeRequest routing.Request
@@ -72,15 +74,16 @@
 	class := accepted.Contract.Classes[q.Class]
 	now := time.Now()
 	execution := &queryExecution{
-		executor:  x,
-		query:     q,
-		accepted:  accepted,
-		class:     class,
-		out:       out,
-		startedAt: now,
-		deadline:  now.Add(class.WholeAnswer.Std()),
-		selector:  selector,
-		tried:     map[string]bool{},
+		executor:    x,
+		query:       q,
+		accepted:    accepted,
+		class:       class,
+		reservation: reservation,
+		out:         out,
+		startedAt:   now,
+		deadline:    now.Add(class.WholeAnswer.Std()),
+		selector:    selector,
+		tried:       map[string]bool{},
 		routeRequest: routing.Request{
 			ID:            q.ID,
 			Customer:      accepted.Contract.Customer,
@@ -190,10 +193,15 @@
 	}
 	q.accepted = accepted
 	q.class = class
+	q.routeRequest.Priority = q.reservation.Priority(class.Priority)
+	q.routeRequest.TTFTLimit = class.FirstToken.Std()
 	return true
 }
 
 func (q *queryExecution) checkMayContinue(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return q.withEarlierAttempts(fault.New(fault.Canceled, fault.NotRun, "the caller disconnected"))
+	}
 	if ctx.Err() != nil {
 		return q.withEarlierAttempts(fault.New(fault.DeadlineExceeded, fault.NotRun, "the deadline for the complete answer has passed"))
 	}
@@ -347,7 +355,9 @@
 // stops the generation by itself after a time without a reader.
 func (q *queryExecution) cancelAtSidecar(ticket *fleet.Ticket) {
 	task := &cancelTask{client: q.executor.entry.client, address: ticket.Address, id: q.query.ID}
-	_ = q.executor.entry.host.Pool.Submit(task)
+	if err := q.executor.entry.host.Pool.Submit(task); err != nil {
+		go task.run() // a busy fleet must not generate what nobody waits for
+	}
 }
 
 type cancelTask struct {
@@ -357,7 +367,10 @@
 }
 
 // Run implements pool.Task.
-func (t *cancelTask) Run() {
+func (t *cancelTask) Run() { t.run() }
+
+// run sends the request. It takes cancelTimeout at most.
+func (t *cancelTask) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	_ = t.client.Call(ctx, t.address, message.MethodCancel, message.CancelRequest{ID: t.id}, nil)
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"endivedeck.example/fault"
@@ -90,8 +91,8 @@
 // attachOrStart returns the stream with the request's ID, or starts it, and the
 // number of the new reader.
 func (t *streamTable) attachOrStart(request message.GenerateRequest) (*stream, int, error) {
-	if s, reader := t.attach(request); s != nil {
-		return s, reader, nil
+	if s, reader, err := t.attach(request); s != nil || err != nil {
+		return s, reader, err
 	}
 	if request.Resume {
 		return nil, 0, fault.New(fault.NotFound, fault.MaybeRun, "no stream to resume for request %s", request.ID)
@@ -103,34 +104,77 @@
 	if err := t.sidecar.admit(request.Customer, request.Revision); err != nil {
 		return nil, 0, err
 	}
-	s := t.add(request)
+	s, reader, added, err := t.attachOrAdd(request)
+	if !added {
+		t.sidecar.release()
+		return s, reader, err
+	}
 	if err := t.sidecar.host.Pool.Submit(pool.Task(s)); err != nil {
 		t.remove(s)
 		t.sidecar.release()
 		return nil, 0, err
 	}
-	return s, s.latestReader, nil
+	return s, reader, nil
 }
 
 // attach makes the caller the reader of the stream with the request's ID. It
 // returns nil if there is none.
-func (t *streamTable) attach(request message.GenerateRequest) (*stream, int) {
+func (t *streamTable) attach(request message.GenerateRequest) (*stream, int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[request.ID]
 	if s == nil {
-		return nil, 0
+		return nil, 0, nil
+	}
+	reader, err := s.addReader(request)
+	return s, reader, err
+}
+
+// addReader adds a reader, which replaces earlier ones, and returns its number. It
+// fails if the tokens that the entry has received aren't those at the start of this
+// answer, because another engine generated some: the rest would not fit them. The stream
+// is then removed, but not by a resumption: the entry would ask for a new one at once,
+// which the cancellation of the old one could end. The caller must hold streamTable.mu.
+func (s *stream) addReader(request message.GenerateRequest) (int, error) {
+	if !s.startsWith(request.Offset, request.ReceivedText) {
+		if !request.Resume {
+			delete(s.table.byID, s.request.ID)
+			s.cancel()
+		}
+		return 0, fault.New(fault.NotFound, fault.MaybeRun, "the stream retained for request %s doesn't start with the %d tokens received", request.ID, request.Offset)
 	}
 	s.latestReader++
 	s.hasReader = true
 	s.notifyReaders()
-	return s, s.latestReader
+	return s.latestReader, nil
+}
+
+// startsWith reports whether a chunk of the answer ends at offset and the text before
+// it is received. The caller must hold streamTable.mu.
+func (s *stream) startsWith(offset int, received string) bool {
+	rest, ok := strings.CutPrefix(received, s.request.ReceivedText)
+	next := s.request.Offset
+	for _, chunk := range s.chunks {
+		if !ok || next >= offset {
+			break
+		}
+		rest, ok = strings.CutPrefix(rest, chunk.Text)
+		next += chunk.Tokens
+	}
+	return ok && rest == "" && next == offset
 }
 
-// add adds a stream for a new request, with its first reader.
-func (t *streamTable) add(request message.GenerateRequest) *stream {
+// attachOrAdd adds a stream for a new request, with its first reader. If another call
+// with the request has added it meanwhile, the caller becomes its reader.
+func (t *streamTable) attachOrAdd(request message.GenerateRequest) (s *stream, reader int, added bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[request.ID]; s != nil {
+		reader, err := s.addReader(request)
+		return s, reader, false, err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.TimeLeft)
-	s := &stream{
+	s = &stream{
 		table:        t,
 		request:      request,
 		ctx:          ctx,
@@ -141,10 +185,8 @@
 		startedAt:    time.Now(),
 		updated:      make(chan struct{}),
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.byID[request.ID] = s
-	return s
+	return s, s.latestReader, true, nil
 }
 
 // remove cancels a stream and removes it.
@@ -208,15 +250,15 @@
 	if chunk.Offset > s.nextOffset {
 		return fault.New(fault.Broken, fault.MaybeRun, "gap in the engine's stream: want offset %d, got %d", s.nextOffset, chunk.Offset)
 	}
+	if tokens := s.nextOffset + chunk.Tokens; tokens > s.request.MaxTokens {
+		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens, limit %d", tokens, s.request.MaxTokens)
+	}
 	s.lastTokenAt = time.Now()
 	if s.firstTokenAt.IsZero() {
 		s.firstTokenAt = s.lastTokenAt
 	}
 	s.chunks = append(s.chunks, chunk)
 	s.nextOffset += chunk.Tokens
-	if s.nextOffset > s.request.MaxTokens {
-		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens, limit %d", s.nextOffset, s.request.MaxTokens)
-	}
 	s.ended = s.ended || chunk.Final
 	s.notifyReaders()
 	return nil
