Make TestRelay's priorities independent of the machine's speed

What users saw: nothing; the test failed beside a load of 35 or more, with Request-Priority 5 where 6, or 4 where 5 was wanted.

Cause: the priority follows from what is left of the latency objective of 150 ms after the expected prefill. The time from the request's arrival to the placement counted too, and 10 ms of it moved the class.

Change: the cases with a long prompt send one of 900,000 tokens on a route with an objective of 195 s. The expected prefill times are 55.1 s and 58.6 s, so 3.4 s and a minute may pass before the class moves. The golden file is unchanged: priorities 6, 5 and 3 are each checked in the cases where they were.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,15 @@
 
 const longPromptHeader = "Token-Counts: 9000,2\r\nPrompt-Prefix: ab:2500,cd:3700,ef:2800\r\n"
 
+// The expected time of hugePromptHeader until the first event is 55.1 s by the prefill
+// engine and 58.6 s on the decode engine, without a cache. So hugePromptObjective leaves
+// 3.4 s that may pass before the first is no longer priority 6 (up to 58.5 s), and a
+// minute before the second is no longer priority 5 (up to 117 s).
+const (
+	hugePromptHeader    = "Token-Counts: 900000,2\r\nPrompt-Prefix: ab:250000,cd:370000,ef:280000\r\n"
+	hugePromptObjective = 195 * time.Second
+)
+
 var notExecuted = plainResponse(503, "full", "Not-Executed: 1")
 
 // TestRelay sends one request in each case and compares the response, and the
@@ -62,11 +71,11 @@
 		{"slow stream, resumable", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "<pause 450ms>", event(2), "<pause 1100ms>", event(3)), streamResponse(event(3)))},
 		{"response without end", oneRoute(routes.Idempotent, 2, false), [4]string{"GET", "/a/", "", ""}, twoServers("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("10000\r\n"+strings.Repeat("x", 0x10000)+"\r\n", 5*maxResponseBytes>>18), plainResponse(200, "good"))},
 		{"event without end", oneRoute(routes.Stream, 2, true), [4]string{"POST", "/a/", "", "x"}, twoServers(streamResponse(event(1), "data: "+strings.Repeat("x", 2<<20), "<cut>"), streamResponse(event(2)))},
-		{"prefill response without end", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(plainResponse(200, strings.Repeat("x", 1<<20)), streamResponse(event(1)))},
-		{"prefill on another server", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(kvHandle, streamResponse(event(1)))},
-		{"prefill refused", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode(notExecuted, streamResponse(event(1)))},
-		{"prefill, connection closed", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, prefillAndDecode("drop", streamResponse(event(1)))},
-		{"prefill whose KV cache is gone", oneRoute(routes.Stream, 1, false), [4]string{"POST", "/a/", longPromptHeader, "x"}, append(prefillAndDecode(kvHandle, notExecuted), &backendServer{name: "c", stage: roster.Decode, script: []string{streamResponse(event(1))}})},
+		{"prefill response without end", hugePromptRoute(), [4]string{"POST", "/a/", hugePromptHeader, "x"}, prefillAndDecode(plainResponse(200, strings.Repeat("x", 1<<20)), streamResponse(event(1)))},
+		{"prefill on another server", hugePromptRoute(), [4]string{"POST", "/a/", hugePromptHeader, "x"}, prefillAndDecode(kvHandle, streamResponse(event(1)))},
+		{"prefill refused", hugePromptRoute(), [4]string{"POST", "/a/", hugePromptHeader, "x"}, prefillAndDecode(notExecuted, streamResponse(event(1)))},
+		{"prefill, connection closed", hugePromptRoute(), [4]string{"POST", "/a/", hugePromptHeader, "x"}, prefillAndDecode("drop", streamResponse(event(1)))},
+		{"prefill whose KV cache is gone", hugePromptRoute(), [4]string{"POST", "/a/", hugePromptHeader, "x"}, append(prefillAndDecode(kvHandle, notExecuted), &backendServer{name: "c", stage: roster.Decode, script: []string{streamResponse(event(1))}})},
 	} {
 		b := newTestbed(t, c.routes, c.servers...)
 		response := b.send(c.request[0], c.request[1], c.request[2], c.request[3])
@@ -75,6 +84,15 @@
 	golden.Check(t, "relay.golden", got.String())
 }
 
+// hugePromptRoute returns a route whose objective is so long that the time that passes
+// in a test doesn't change the priority of a request of hugePromptHeader.
+func hugePromptRoute() []routes.Route {
+	list := oneRoute(routes.Stream, 1, false)
+	list[0].LatencyObjective = hugePromptObjective
+	list[0].Timeout = 2 * hugePromptObjective
+	return list
+}
+
 func twoServers(first, second string) []*backendServer {
 	return []*backendServer{{name: "a", script: []string{first}}, {name: "b", script: []string{second}}}
 }
