Replay a trace shorter than one interval of the timeline

What users saw: a trace shorter than 5 s ended the replay in a panic, "index out of range [-1]"; the rest of one whose length isn't a multiple of 5 s was counted in the interval before.

Cause: the number of intervals was rounded down, to 0 for a short trace. Evidence: TestShortTrace, which panicked. Change: it is rounded up, and is at least 1. Result: TestShortTrace passes; traces of whole intervals give the same reports.

--- /dev/null
+++ b/replay/failure_test.go
@@ -0,0 +1,47 @@
+package replay
+
+import (
+	"testing"
+	"time"
+
+	"endivedeck.example/trace"
+)
+
+// newSmallReplay returns a replay of a trace with one engine and the given events.
+func newSmallReplay(t *testing.T, length time.Duration, events ...trace.Event) *Replay {
+	t.Helper()
+	generated, err := trace.Generate("calm", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	generated.Header.EngineCount = 1
+	generated.Header.EntryCount = 1
+	generated.Header.LengthMS = length.Milliseconds()
+	generated.Events = events
+	r, err := New(generated, tested)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func smallQuery(at time.Duration) trace.Event {
+	return trace.Event{
+		AtMS: at.Milliseconds(), Kind: trace.Query, ID: "q", Customer: "crews", Class: "urgent",
+		Prompt: []trace.Segment{{Name: "p", Tokens: 80}}, AnswerTokens: 10,
+	}
+}
+
+// TestShortTrace replays traces whose length isn't a multiple of bucketTime. One
+// shorter than bucketTime ended in a panic.
+func TestShortTrace(t *testing.T) {
+	for _, c := range []struct {
+		length time.Duration
+		want   int
+	}{{0, 1}, {3 * time.Second, 1}, {7 * time.Second, 2}, {10 * time.Second, 2}} {
+		got := newSmallReplay(t, c.length, smallQuery(0)).Run()
+		if len(got.Timeline) != c.want || got.Timeline[0].Offered != 1 {
+			t.Errorf("%v: got %d intervals, %+v, want %d and 1 query in the first", c.length, len(got.Timeline), got.Timeline, c.want)
+		}
+	}
+}
--- a/replay/report.go
+++ b/replay/report.go
@@ -90,7 +90,7 @@
 		Roles:      o.Roles,
 		Refused:    map[string]int{},
 		Groups:     map[string]*Group{},
-		Timeline:   make([]TimelineEntry, int(length/bucketTime)),
+		Timeline:   make([]TimelineEntry, max(1, int((length+bucketTime-1)/bucketTime))),
 		lastChange: map[string]RoleChange{},
 		length:     length,
 	}
