End the ticket of a query that expires on the way to an engine

What users would see: in a replay, the engine counts one query and its prompt more from then on at this entry, so that it gets fewer queries than it could run.

Cause: at its arrival an expired query was dropped, and its end had recorded nothing, since it had no engine yet. Evidence: TestExpiryOnTheWay: 1 query and 80 prompt tokens left, want none. Change: the arrival of an expired query ends its ticket. Result: the test passes.

--- a/replay/failure_test.go
+++ b/replay/failure_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"endivedeck.example/fault"
+	"endivedeck.example/fleet"
+	"endivedeck.example/settings"
 	"endivedeck.example/trace"
 )
 
@@ -45,3 +48,23 @@
 		}
 	}
 }
+
+// TestExpiryOnTheWay lets a query expire between the choice of an engine and its
+// arrival there. The entry must not count it as running any more.
+func TestExpiryOnTheWay(t *testing.T) {
+	r := newSmallReplay(t, 10*time.Second, smallQuery(time.Second))
+	accepted := r.contracts["crews"]
+	class := accepted.Contract.Classes["urgent"]
+	class.WholeAnswer = settings.Duration(networkDelay)
+	accepted.Contract.Classes["urgent"] = class
+	report := r.Run()
+	if got := report.Refused[string(fault.DeadlineExceeded)]; got != 1 {
+		t.Fatalf("got refusals %v, want one for the deadline", report.Refused)
+	}
+	selector := fleet.Selector{Model: r.trace.Header.Model}
+	for _, c := range r.dispatchers[0].Fleet.Candidates(r.now, selector, nil) {
+		if c.InFlight != 0 || c.PendingTokens != 0 {
+			t.Errorf("got %d queries and %d prompt tokens at %s, want none", c.InFlight, c.PendingTokens, c.Name)
+		}
+	}
+}
--- a/replay/request.go
+++ b/replay/request.go
@@ -136,9 +136,11 @@
 }
 
 // arrive handles the query's arrival at the sidecar of the chosen engine. If the
-// engine accepts no requests by now, it starts another attempt.
+// engine accepts no requests by now, it starts another attempt. A query that expired
+// on the way only ends its ticket.
 func (q *request) arrive() {
 	if q.done {
+		q.dispatcher.Fleet.RecordEnd(q.replay.now, &q.ticket, 0, false)
 		return
 	}
 	for _, e := range q.replay.engines {
