Cancel a role change when the engine crashes in a replay

What users would see: in a replay, an engine that crashed while its role changed accepted no queries after its return until the change ended, and then had the new role although its process was another; the end could also be taken as that of a later change.

Cause: a crash canceled only a change that still waited for the engine to drain. Evidence: TestCrashDuringRoleChange: role prefill, changing false, want both, true. Change: a crash ends the change at once; what is left of it is ignored.

--- a/replay/engine.go
+++ b/replay/engine.go
@@ -146,10 +146,11 @@
 	return grant
 }
 
-// crash empties the engine, which keeps its role. Its requests continue on other
-// engines.
+// crash empties the engine, which keeps its role: a role change in progress is
+// canceled. Its requests continue on other engines.
 func (e *engine) crash() {
 	e.down = true
+	e.changingRole = false
 	e.epoch++
 	e.stepping = false
 	requests := e.requests
@@ -184,10 +185,8 @@
 }
 
 // changeRoleWhenIdle checks every grantInterval whether the engine has drained.
-// A crash before that cancels the change.
 func (e *engine) changeRoleWhenIdle(epoch int, role string) {
 	if e.epoch != epoch {
-		e.changingRole = false
 		return
 	}
 	if !e.batch.Idle() {
@@ -196,6 +195,9 @@
 	}
 	duration := time.Duration(e.replay.trace.Header.RoleChangeMS) * time.Millisecond
 	e.replay.schedule(duration, func() {
+		if e.epoch != epoch {
+			return
+		}
 		e.changingRole = false
 		e.batch.Role = role
 	})
--- a/replay/failure_test.go
+++ b/replay/failure_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"container/heap"
 	"testing"
 	"time"
 
@@ -68,3 +69,39 @@
 		}
 	}
 }
+
+// TestCrashDuringRoleChange crashes an engine while its role changes: the change is
+// canceled, and its end must not be taken as that of the change after it.
+func TestCrashDuringRoleChange(t *testing.T) {
+	r := newSmallReplay(t, time.Minute)
+	r.sendGrants()
+	e := r.engines[0]
+	changeTime := time.Duration(r.trace.Header.RoleChangeMS) * time.Millisecond
+	e.changeRole("prefill")
+	r.runFor(grantInterval + changeTime/2)
+	e.crash()
+	e.rejoin()
+	if !e.acceptsRequests() {
+		t.Error("got an engine that accepts no requests after its return, want one that does")
+	}
+	e.changeRole("decode")
+	r.runFor(changeTime/2 + grantInterval)
+	if e.batch.Role != "both" || !e.changingRole {
+		t.Errorf("got role %s, changing %v when the canceled change would have ended, want both and true", e.batch.Role, e.changingRole)
+	}
+	r.runFor(changeTime)
+	if e.batch.Role != "decode" || e.changingRole {
+		t.Errorf("got role %s, changing %v after the second change, want decode and false", e.batch.Role, e.changingRole)
+	}
+}
+
+// runFor runs the events of the given time.
+func (r *Replay) runFor(d time.Duration) {
+	end := r.now.Add(d)
+	for len(r.pending) > 0 && !r.pending[0].at.After(end) {
+		e := heap.Pop(&r.pending).(scheduledEvent)
+		r.now = e.at
+		e.action()
+	}
+	r.now = end
+}
