Count prefill engines by both roles of a change

What users would see: the plot of a replay with a change from both to decode showed one prefill engine too few from then on, and -1 if there was none.

Cause: each change to a role other than prefill counted as one engine less. Evidence: TestPrefillCount: -1, 0, -1, -1, want 0, 1, 0, 0. Change: a change from prefill counts one less, a change to prefill one more. Result: the test passes.

--- a/replay/failure_test.go
+++ b/replay/failure_test.go
@@ -105,3 +105,20 @@
 	}
 	r.now = end
 }
+
+// TestPrefillCount counts the prefill engines after changes that don't end or begin
+// with the role prefill.
+func TestPrefillCount(t *testing.T) {
+	r := newSmallReplay(t, 20*time.Second)
+	r.report.RoleDecisions = []RoleChange{
+		{Second: 1, From: "both", To: "decode"},
+		{Second: 6, From: "both", To: "prefill"},
+		{Second: 11, From: "prefill", To: "decode"},
+	}
+	r.report.finish(r)
+	for i, want := range []int{0, 1, 0, 0} {
+		if got := r.report.Timeline[i].PrefillEngines; got != want {
+			t.Errorf("second %d: got %d prefill engines, want %d", r.report.Timeline[i].Second, got, want)
+		}
+	}
+}
--- a/replay/report.go
+++ b/replay/report.go
@@ -211,11 +211,13 @@
 	for i := range r.Timeline {
 		end := float64(r.Timeline[i].Second) + bucketTime.Seconds()
 		for nextDecision < len(r.RoleDecisions) && r.RoleDecisions[nextDecision].Second < end {
-			if r.RoleDecisions[nextDecision].To == "prefill" {
-				prefillEngines++
-			} else {
+			decision := r.RoleDecisions[nextDecision]
+			if decision.From == "prefill" {
 				prefillEngines--
 			}
+			if decision.To == "prefill" {
+				prefillEngines++
+			}
 			nextDecision++
 		}
 		r.Timeline[i].PrefillEngines = prefillEngines
