Refuse a malformed number of the last event at the stand-in engine

What users would see: a client that sent a malformed "after" got all cache events from the start with status 200, and no word of its mistake.

Cause: the error of the parser was dropped. Evidence: TestMalformedRequests: status 200, want 400. Change: status 400 and kind malformed; a request without "after" still gets all. Result: the test passes.

--- a/standin/http.go
+++ b/standin/http.go
@@ -99,7 +99,14 @@
 }
 
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	var after uint64
+	if text := r.URL.Query().Get("after"); text != "" {
+		var err error
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			writeError(w, fault.New(fault.Malformed, fault.NotRun, "after: want a non-negative integer, got %q", text))
+			return
+		}
+	}
 	writeJSON(w, e.eventsAfter(time.Now(), after))
 }
 
