Refuse a priority out of range at the stand-in engine

What users would see: an answer with a priority outside of 0 to 9 never began and kept its slot for good.

Cause: the prefill goes through the priorities 0 to 9 only. Evidence: TestMalformedRequests: status 200 and 2 streams left, want 400 and none. Change: status 400 and kind malformed. Result: the test passes.

--- a/standin/batch.go
+++ b/standin/batch.go
@@ -18,6 +18,7 @@
 const (
 	prefillChunkFactor = 2 // chunk size of the role prefill, in those of the role both
 	decodeChunkDivisor = 8 // chunk size of the role both, in those of the role decode
+	maxPriority        = 9 // of a sequence
 )
 
 type (
@@ -40,7 +41,7 @@
 		PromptTokens   int
 		ReceivedTokens int // answer tokens that the caller has already received, prefilled with the prompt
 		AnswerTokens   int // total answer tokens, including the received ones
-		Priority       int // 0 to 9; higher runs first
+		Priority       int // 0 to maxPriority; higher runs first
 
 		prefilled int // prompt and received tokens that are prefilled or cached
 		generated int // answer tokens, including the received ones
@@ -187,7 +188,7 @@
 func (b *Batch) prefill() time.Duration {
 	budget := b.chunkTokens()
 	tokens := 0
-	for priority := 9; priority >= 0 && budget > 0; priority-- {
+	for priority := maxPriority; priority >= 0 && budget > 0; priority-- {
 		for _, s := range b.Running {
 			remaining := s.PromptTokens + s.ReceivedTokens - s.prefilled
 			if s.Priority != priority || remaining <= 0 || budget <= 0 {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -252,6 +252,9 @@
 
 // startStream queues a stream's sequence. An ID in use is refused.
 func (e *Engine) startStream(request StreamRequest) (*stream, error) {
+	if request.Priority < 0 || request.Priority > maxPriority {
+		return nil, fault.New(fault.Malformed, fault.NotRun, "priority: want 0 to %d, got %d", maxPriority, request.Priority)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.orders.checkAvailable(request.Model); err != nil {
--- a/standin/http_test.go
+++ b/standin/http_test.go
@@ -23,6 +23,8 @@
 	for _, c := range []struct{ name, method, path, body string }{
 		{"after isn't a number", http.MethodGet, "/v1/events?after=x", ""},
 		{"after is negative", http.MethodGet, "/v1/events?after=-1", ""},
+		{"priority above the range", http.MethodPost, "/v1/streams", `{"id":"a","model":"m","prompt":"p","most":4,"priority":10}`},
+		{"priority below the range", http.MethodPost, "/v1/streams", `{"id":"b","model":"m","prompt":"p","most":4,"priority":-1}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := httptest.NewRequest(c.method, "http://"+e.Address()+c.path, strings.NewReader(c.body))
@@ -41,4 +43,7 @@
 			}
 		})
 	}
+	if got := e.StreamCount(); got != 0 {
+		t.Errorf("got %d streams, want 0", got)
+	}
 }
