Name the cause of an incomplete answer in the demo

What users would see: "decode response: <nil>" and "stream ended before [DONE]: <nil>" for an answer that was well-formed but incomplete.

Cause: one message for two cases, of which one has no error to show. Evidence: TestErrorTextWithoutCause, which found both texts. Change: a message for each case. Result: the test passes.

--- a/demo/client.go
+++ b/demo/client.go
@@ -87,9 +87,12 @@
 		return readStream(response.Body)
 	}
 	var result chatResponse
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil || len(result.Choices) != 1 {
+	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
 		return "", fault.New(fault.Broken, fault.MaybeRun, "decode response: %v", err)
 	}
+	if len(result.Choices) != 1 {
+		return "", fault.New(fault.Broken, fault.MaybeRun, "decode response: got %d choices, want 1", len(result.Choices))
+	}
 	return result.Choices[0].Message.Content, nil
 }
 
@@ -115,7 +118,10 @@
 			text.WriteString(choice.Delta.Content)
 		}
 	}
-	return text.String(), fault.New(fault.Broken, fault.MaybeRun, "stream ended before [DONE]: %v", scanner.Err())
+	if err := scanner.Err(); err != nil {
+		return text.String(), fault.New(fault.Broken, fault.MaybeRun, "reading the stream: %v", err)
+	}
+	return text.String(), fault.New(fault.Broken, fault.MaybeRun, "stream ended before [DONE]")
 }
 
 // SendOrder sends a request to an order service and returns the response body.
