--- a/replay/report.go
+++ b/replay/report.go
@@ -90,7 +90,7 @@
 		Roles:      o.Roles,
 		Refused:    map[string]int{},
 		Groups:     map[string]*Group{},
-		Timeline:   make([]TimelineEntry, int(length/bucketTime)),
+		Timeline:   make([]TimelineEntry, max(1, int((length+bucketTime-1)/bucketTime))),
 		lastChange: map[string]RoleChange{},
 		length:     length,
 	}
@@ -211,11 +211,13 @@
 	for i := range r.Timeline {
 		end := float64(r.Timeline[i].Second) + bucketTime.Seconds()
 		for nextDecision < len(r.RoleDecisions) && r.RoleDecisions[nextDecision].Second < end {
-			if r.RoleDecisions[nextDecision].To == "prefill" {
-				prefillEngines++
-			} else {
+			decision := r.RoleDecisions[nextDecision]
+			if decision.From == "prefill" {
 				prefillEngines--
 			}
+			if decision.To == "prefill" {
+				prefillEngines++
+			}
 			nextDecision++
 		}
 		r.Timeline[i].PrefillEngines = prefillEngines
