Name what the quarantine sends in the usual terms

Methods and comments of package quarantine spoke of telling; two methods had one name on different types. No behaviour changes; the golden files are the same.

--- a/internal/prompts/quarantine/exchange.go
+++ b/internal/prompts/quarantine/exchange.go
@@ -7,7 +7,7 @@
 )
 
 type (
-	// Evidence is what a relay tells other relays about a part.
+	// Evidence is what a relay sends to other relays about a part.
 	Evidence struct {
 		Part   uint64        `cbor:"1,keyasint"`
 		Depth  int           `cbor:"2,keyasint"`           // greatest index in a prompt
@@ -56,7 +56,7 @@
 }
 
 // Snapshot returns the evidence for a relay that has just started or was out of reach:
-// against all quarantined parts, what this relay has told others, and the selected rest.
+// against all quarantined parts, what this relay has sent to others, and the selected rest.
 // It also returns the sequence number to pass to Changes.
 func (t *Table) Snapshot(now time.Time, selected func(part uint64) bool) ([]Evidence, uint64) {
 	t.mu.Lock()
@@ -88,7 +88,7 @@
 }
 
 // Merge adds the evidence of another relay and reports whether other relays are to
-// be told something. Lists and values that no relay sends are cut or left out.
+// be sent something. Lists and values that no relay sends are cut or left out.
 func (t *Table) Merge(now time.Time, list []Evidence) bool {
 	if len(list) == 0 {
 		return false
@@ -96,20 +96,20 @@
 	list = list[:min(len(list), maxEvidence)]
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	told := t.seq
+	before := t.seq
 	for _, e := range list {
 		t.merge(now, e)
 	}
 	t.judge()
 	for _, e := range list {
 		// A verdict needs no message if the sender knows all that it rests on.
-		if p := t.parts[e.Part]; p != nil && p.changed > told && p.state == Quarantined && len(e.Ends) >= len(p.ends) && e.Others >= minOthers {
+		if p := t.parts[e.Part]; p != nil && p.changed > before && p.state == Quarantined && len(e.Ends) >= len(p.ends) && e.Others >= minOthers {
 			p.changed = 0
 		}
 	}
 	return slices.ContainsFunc(list, func(e Evidence) bool {
 		p := t.parts[e.Part]
-		return p != nil && p.changed > told
+		return p != nil && p.changed > before
 	})
 }
 
@@ -134,7 +134,7 @@
 		}
 		at := now.Add(-end.Age)
 		started := serverStart{server: end.Server, startedAt: end.StartedAt}
-		t.addEnd(started, at)
+		t.addServerEnd(started, at)
 		if !at.After(p.begunAt) {
 			outdated++
 			continue
@@ -142,7 +142,7 @@
 		p.addEnd(started, endRecord{at: at, begun: t.begun.Load()})
 	}
 	if outdated > 0 && len(e.Ends) >= minSuspectEnds {
-		t.tell(p) // the sender doesn't know that an answer has begun since then
+		t.markChanged(p) // the sender doesn't know that an answer has begun since then
 	}
 	if len(p.ends) > 0 {
 		p.trials = max(p.trials, min(max(e.Trials, 0), maxTrials))
--- a/internal/prompts/quarantine/judge.go
+++ b/internal/prompts/quarantine/judge.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if before != Quarantined {
-			t.tell(p)
+			t.markChanged(p)
 		}
 		for _, end := range ends {
 			delete(unexplained, end.serverStart)
--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -88,7 +88,7 @@
 		mu    rank.Mutex
 		parts map[uint64]*part
 		ends  map[serverStart]time.Time // of all servers, whichever requests they broke
-		seq   uint64                    // of the latest change that other relays are to be told
+		seq   uint64                    // of the latest change to send to other relays
 
 		transitions []Transition // not yet returned by Transitions
 	}
@@ -111,11 +111,11 @@
 		begunAt time.Time // when an answer to a request with the part last began
 		trials  int       // that failed
 		tried   int64     // round in which this relay has tried the part
-		changed uint64    // Table.seq of the latest change to tell; 0 for nothing to tell
+		changed uint64    // Table.seq of the latest change to send; 0 for nothing to send
 		state   State
 	}
 
-	// endRecord tells when a server ended, and the value of Table.begun when this
+	// endRecord is when a server ended, and the value of Table.begun when this
 	// relay learned of it.
 	endRecord struct {
 		at    time.Time
@@ -189,12 +189,12 @@
 
 // RecordEnd records that a server broke the connection to a request with the given
 // parts before it sent any part of the answer, and reports whether other relays are
-// to be told.
+// to be sent evidence.
 func (t *Table) RecordEnd(now time.Time, parts []uint64, serverID string, startedAt int64) bool {
 	end := serverStart{server: xxhash.Sum64String(serverID), startedAt: startedAt}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addEnd(end, now)
+	t.addServerEnd(end, now)
 	known := t.anyQuarantined(parts)
 	changed := false
 	for depth, id := range parts {
@@ -207,7 +207,7 @@
 		}
 		p.depth = max(p.depth, depth)
 		if p.addEnd(end, endRecord{at: now, begun: t.begun.Load()}) {
-			t.tell(p)
+			t.markChanged(p)
 			changed = true
 		}
 	}
@@ -216,7 +216,7 @@
 }
 
 // RecordBegun records that the answer to a request with the given parts has begun,
-// and reports whether other relays are to be told.
+// and reports whether other relays are to be sent evidence.
 func (t *Table) RecordBegun(now time.Time, parts []uint64) bool {
 	t.begun.Add(1)
 	if t.size.Load() == 0 {
@@ -224,7 +224,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	told := t.seq
+	before := t.seq
 	changed := false
 	for _, id := range parts {
 		p := t.parts[id]
@@ -234,13 +234,13 @@
 		relevant := p.state != Sound
 		changed = t.clear(p, now) || changed
 		if relevant {
-			t.tell(p)
+			t.markChanged(p)
 		}
 	}
 	if changed {
 		t.judge()
 	}
-	return t.seq > told
+	return t.seq > before
 }
 
 // Expire removes evidence that is no longer used.
@@ -322,8 +322,8 @@
 	return p
 }
 
-// tell marks the evidence about a part as something that other relays are to be told.
-func (t *Table) tell(p *part) {
+// markChanged marks the evidence about a part as something to send to other relays.
+func (t *Table) markChanged(p *part) {
 	t.seq++
 	p.changed = t.seq
 }
@@ -361,8 +361,8 @@
 	return changed
 }
 
-// addEnd adds the end of a server.
-func (t *Table) addEnd(end serverStart, at time.Time) {
+// addServerEnd adds the end of a server.
+func (t *Table) addServerEnd(end serverStart, at time.Time) {
 	if known, ok := t.ends[end]; ok && !at.Before(known) {
 		return
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -22,7 +22,7 @@
 )
 
 // evidenceExchange wakes the senders of load messages when there is evidence about
-// parts of prompts that other relays are to be told. With many relays, load messages
+// parts of prompts to send to other relays. With many relays, load messages
 // alone would spread it too slowly.
 type evidenceExchange struct {
 	relay   *Relay
