--- a/relay/serve.go
+++ b/relay/serve.go
@@ -18,10 +18,6 @@
 	// time left.
 	defaultRetryAfter = 600 * time.Millisecond
 
-	// stopRetryAfter is the Retry-After time of a relay that is stopping. Other relays
-	// can take the request now, but a load balancer may still choose this one.
-	stopRetryAfter = 50 * time.Millisecond
-
 	// startupWait is how long a request may wait for the first routes. Callers give
 	// up a request that isn't read within a second.
 	startupWait = 600 * time.Millisecond
@@ -106,7 +102,7 @@
 	if !j.relay.mayOutliveRelay(j.deadline) {
 		return nil
 	}
-	j.response.retryAfter = stopRetryAfter
+	j.response.retryAfter = 0 // other relays can take the request now
 	return fault.New(fault.Unavailable, fault.NotRun, "the relay is shutting down; the request might not finish within the %v that it may take", j.timeout())
 }
 
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -141,7 +141,7 @@
 	go stop.run(7600 * time.Millisecond)
 	b.waitFor("the relay is stopping", func() bool { return !stopping.Ready() })
 	got := b.sendTo(stopping, "POST", "/a/", "Deadline-Ms: 3000\r\n", "x") + "\n" + b.sendTo(stopping, "POST", "/a/", "", "x")
-	want := `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete` + "\n" + `503 Retry-After=0.05 "unavailable\n" complete`
+	want := `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" complete` + "\n" + `503 Retry-After=0 "unavailable\n" complete`
 	if got != want {
 		t.Errorf("got responses\n%s\nwant\n%s", got, want)
 	}
