--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,10 +28,12 @@
 // cases maps the name of a case to the function that plays it. The function
 // returns what broke the rule, or "" if the rule held.
 var cases = map[string]func(context.Context, *trial) (string, error){
-	"crashing-part": playCrashingPart,
-	"silence":       playSilence,
-	"twice":         playTwice,
-	"double-slash":  playDoubleSlash,
+	"crashing-part":    playCrashingPart,
+	"silence":          playSilence,
+	"twice":            playTwice,
+	"pause":            playPause,
+	"double-slash":     playDoubleSlash,
+	"idle-connections": playIdleConnections,
 }
 
 func main() {
--- a/review/harness/trial.go
+++ b/review/harness/trial.go
@@ -47,6 +47,7 @@
 		name     string
 		ip       string
 		front    string // address for clients
+		ready    string // address of the readiness check
 		operator string // address of listen.control
 		relay    *exec.Cmd
 		control  *exec.Cmd
@@ -125,6 +126,7 @@
 			name:     fmt.Sprintf("edge-zone-%c-1", 'a'+i),
 			ip:       ip,
 			front:    fmt.Sprintf("%s:%d", ip, ports),
+			ready:    fmt.Sprintf("%s:%d", ip, ports+1),
 			operator: fmt.Sprintf("%s:%d", ip, ports+2),
 		}
 		t.machines = append(t.machines, m)
@@ -133,7 +135,7 @@
 	for i, m := range t.machines {
 		common := fmt.Sprintf("nodeId=%s\nmachineClass=edge\nserves=edge,control_plane\nip=%s\nzone=zone-%c\nregion=region-1\n", m.name, m.ip, 'a'+i) +
 			"zones.zone-a=region-1\nzones.zone-b=region-1\nzones.zone-c=region-1\n" +
-			fmt.Sprintf("listen.front=%s\nlisten.ready=%s\nlisten.control=%s\n", m.front, fmt.Sprintf("%s:%d", m.ip, ports+1), m.operator) +
+			fmt.Sprintf("listen.front=%s\nlisten.ready=%s\nlisten.control=%s\n", m.front, m.ready, m.operator) +
 			fmt.Sprintf("internalPorts=%d,%d\nseeds=%s\n", ports+3, ports+8, strings.Join(seeds, ",")) +
 			"bootstrap=true\nlossCounts=true\nlimits.cpuShare=0.72\nlimits.cores=1\nlimits.memoryMb=284\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=64\n" +
 			"discovery=registry\nentry=vip\nheartbeatMs=1200\ninvariants=base,drain,config,cost,retry,recover,split,stream,engine\n" +
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -38,6 +38,7 @@
 		running  int
 		queued   int
 		up       bool
+		pingsCut bool // the paths to the addresses of control_plane are cut
 		listener net.Listener
 		conns    map[net.Conn]bool
 		stopPing context.CancelFunc
@@ -305,7 +306,12 @@
 		w.seq++
 		body := w.announcement()
 		id := w.id
+		cut := w.pingsCut
 		w.mu.Unlock()
+		if cut {
+			sleep(ctx, heartbeat)
+			continue
+		}
 		for range addresses {
 			request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addresses[next]+"/-/instances/"+id, bytes.NewReader(body))
 			if err != nil {
