Find parts of prompts that crash servers midway in their answers

Callers saw: a part that ended each server after the first event of its answer was never quarantined.

Cause: an answer that had begun counted as proof that its parts are sound. A server's end was recorded only if no event had come, and the first event of any answer removed the evidence against its parts.

Evidence: the same with the crash after the first, third and eighth event; the lines of these requests had no "ended". They now have it, with "events".

Change: an end counts at any event of an answer, with its position. An answer refutes the ends before it that it has got well past, and all of them if it is whole. Ends under answers that had begun weigh half, since each server runs dozens of them. A request is given up after two servers have ended under it.

--- a/internal/prompts/quarantine/exchange.go
+++ b/internal/prompts/quarantine/exchange.go
@@ -9,19 +9,21 @@
 type (
 	// Evidence is what a relay sends to other relays about a part.
 	Evidence struct {
-		Part   uint64        `cbor:"1,keyasint"`
-		Depth  int           `cbor:"2,keyasint"`           // greatest index in a prompt
-		Ends   []End         `cbor:"3,keyasint,omitempty"` // since Begun
-		Begun  time.Duration `cbor:"4,keyasint,omitempty"` // time since an answer last began; 0 if none has
-		Trials int           `cbor:"5,keyasint,omitempty"` // that failed
-		Others int           `cbor:"6,keyasint,omitempty"` // answers to other requests that began between the ends
+		Part    uint64          `cbor:"1,keyasint"`
+		Depth   int             `cbor:"2,keyasint"`           // greatest index in a prompt
+		Ends    []End           `cbor:"3,keyasint,omitempty"` // that no answer has refuted
+		Whole   time.Duration   `cbor:"4,keyasint,omitempty"` // age of the last whole answer; 0 if there is none
+		Trials  int             `cbor:"5,keyasint,omitempty"` // that failed
+		Others  int             `cbor:"6,keyasint,omitempty"` // whole answers to other requests between the ends
+		Refuted []time.Duration `cbor:"7,keyasint,omitempty"` // age of the last answer that got past each position class; 0 if there is none
 	}
 
-	// End is the end of a server under a request that waited for its answer.
+	// End is the end of a server under a request.
 	End struct {
 		Server    uint64        `cbor:"1,keyasint"` // hash of the ID
 		StartedAt int64         `cbor:"2,keyasint"` // start of the server, Unix milliseconds
 		Age       time.Duration `cbor:"3,keyasint"`
+		Position  int           `cbor:"4,keyasint,omitempty"` // class of the furthest answer to a request with the part
 	}
 )
 
@@ -75,11 +77,18 @@
 
 func (p *part) evidence(now time.Time) Evidence {
 	e := Evidence{Part: p.id, Depth: p.depth, Trials: p.trials, Others: p.others}
-	if !p.begunAt.IsZero() {
-		e.Begun = max(now.Sub(p.begunAt), 1)
+	whole := p.refuted[positionClasses-1]
+	if !whole.IsZero() {
+		e.Whole = max(now.Sub(whole), 1)
+	}
+	for _, at := range p.refuted {
+		if !at.After(whole) {
+			break // later classes have no later times
+		}
+		e.Refuted = append(e.Refuted, max(now.Sub(at), 1))
 	}
 	for end, record := range p.ends {
-		e.Ends = append(e.Ends, End{Server: end.server, StartedAt: end.startedAt, Age: max(now.Sub(record.at), 0)})
+		e.Ends = append(e.Ends, End{Server: end.server, StartedAt: end.startedAt, Age: max(now.Sub(record.at), 0), Position: record.position})
 	}
 	slices.SortFunc(e.Ends, func(a, b End) int {
 		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Server, b.Server))
@@ -124,25 +133,30 @@
 	if e.Depth >= 0 && e.Depth <= maxDepth {
 		p.depth = max(p.depth, e.Depth)
 	}
-	if e.Begun > 0 && e.Begun <= evidenceTTL {
-		t.clear(p, now.Add(-e.Begun))
+	if e.Whole > 0 && e.Whole <= evidenceTTL {
+		t.refute(p, now.Add(-e.Whole), positionClasses-1)
+	}
+	for position, age := range e.Refuted[:min(len(e.Refuted), positionClasses-1)] {
+		if age > 0 && age <= evidenceTTL {
+			t.refute(p, now.Add(-age), position)
+		}
 	}
 	outdated := 0
 	for _, end := range e.Ends[:min(len(e.Ends), maxEnds)] {
-		if end.Age < 0 || end.Age > evidenceTTL+maxPause {
+		if end.Age < 0 || end.Age > evidenceTTL+maxPause || end.Position < 0 || end.Position >= positionClasses {
 			continue
 		}
-		at := now.Add(-end.Age)
+		record := endRecord{at: now.Add(-end.Age), position: end.Position, whole: t.whole.Load()}
 		started := serverStart{server: end.Server, startedAt: end.StartedAt}
-		t.addServerEnd(started, at)
-		if !at.After(p.begunAt) {
+		t.addServerEnd(started, record.at)
+		if p.refutes(record) {
 			outdated++
 			continue
 		}
-		p.addEnd(started, endRecord{at: at, begun: t.begun.Load()})
+		p.addEnd(started, record)
 	}
 	if outdated > 0 && len(e.Ends) >= minSuspectEnds {
-		t.markChanged(p) // the sender doesn't know that an answer has begun since then
+		t.markChanged(p) // the sender doesn't know of the answer that refutes an end
 	}
 	if len(p.ends) > 0 {
 		p.trials = max(p.trials, min(max(e.Trials, 0), maxTrials))
--- a/internal/prompts/quarantine/judge.go
+++ b/internal/prompts/quarantine/judge.go
@@ -10,26 +10,29 @@
 // datedEnd is a server's end and the time at which it was noticed.
 type datedEnd struct {
 	serverStart
-	at time.Time
+	at       time.Time
+	position int // class, as in endRecord
 }
 
-// judge determines the state of all parts. The part with the most ends comes first,
-// and of several with as many the one that is deepest in its prompts, which fewer
+// judge determines the state of all parts. The part whose ends weigh most comes first,
+// and of several with as much the one that is deepest in its prompts, which fewer
 // requests share; a part that a deeper one explains comes after that one. What a
 // quarantined part explains isn't held against the others.
 func (t *Table) judge() {
 	t.size.Store(int32(len(t.parts)))
-	order := make([]*part, 0, len(t.parts))
+	list := t.suspects()
+	if len(list) == 0 {
+		return
+	}
 	unexplained := maps.Clone(t.ends)
-	for _, p := range t.parts {
-		order = append(order, p)
+	for _, p := range list {
 		for end, record := range p.ends {
 			if at, known := unexplained[end]; !known || record.at.Before(at) {
 				unexplained[end] = record.at
 			}
 		}
 	}
-	slices.SortFunc(order, compareEvidence)
+	order := sortByEvidence(list, unexplained)
 	times := sortedTimes(unexplained)
 	for len(order) > 0 {
 		p := order[0]
@@ -86,9 +89,29 @@
 
 func (e datedEnd) sameStart(other datedEnd) bool { return e.serverStart == other.serverStart }
 
-// compareEvidence orders parts by their number of ends, most first.
-func compareEvidence(a, b *part) int {
-	return cmp.Or(cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.id, b.id))
+// suspects returns the parts with enough ends for a suspicion. The others are sound.
+func (t *Table) suspects() []*part {
+	var list []*part
+	for _, p := range t.parts {
+		if len(p.ends) < minSuspectEnds {
+			t.setState(p, Sound)
+			continue
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+// sortByEvidence returns the parts in the order in which they are judged.
+func sortByEvidence(list []*part, unexplained map[serverStart]time.Time) []*part {
+	weights := make(map[*part]int, len(list))
+	for _, p := range list {
+		weights[p], _ = weigh(p.endsAmong(unexplained))
+	}
+	slices.SortFunc(list, func(a, b *part) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.id, b.id))
+	})
+	return list
 }
 
 func sortedTimes(ends map[serverStart]time.Time) []time.Time {
@@ -100,7 +123,7 @@
 	var ends []datedEnd
 	for end, record := range p.ends {
 		if _, ok := unexplained[end]; ok {
-			ends = append(ends, datedEnd{end, record.at})
+			ends = append(ends, datedEnd{end, record.at, record.position})
 		}
 	}
 	slices.SortFunc(ends, func(a, b datedEnd) int { return a.at.Compare(b.at) })
@@ -112,7 +135,7 @@
 // suffices if it did for any run of the ends: those before and after it may have other
 // causes.
 func (p *part) stateFor(ends []datedEnd, times []time.Time) State {
-	if weight, _ := weigh(ends); weight < minSuspectEnds {
+	if weight, _ := weigh(ends); weight < minSuspectEnds*endWeight {
 		return Sound
 	}
 	if p.others < minOthers {
@@ -138,25 +161,33 @@
 	if moments < minMoments {
 		return false
 	}
-	if len(servers) < minServers && weight < minEndsOneServer {
+	if len(servers) < minServers && weight < minEndsOneServer*endWeight {
 		return false
 	}
 	from, _ := slices.BinarySearchFunc(times, run[0].at.Add(-foreignWindow), time.Time.Compare)
 	until, _ := slices.BinarySearchFunc(times, run[len(run)-1].at.Add(1), time.Time.Compare)
 	foreign := max(until-from-len(run), 0)
-	return weight >= minEnds+(foreign+foreignPerEnd-1)/foreignPerEnd
+	return weight >= (minEnds+(foreign+foreignPerEnd-1)/foreignPerEnd)*endWeight
 }
 
-// weigh returns how many ends the given ones, oldest first, count for, and the number of
-// moments at which they occurred. Each further end at the same moment counts half: it may
-// have the same cause.
+// weigh returns how much the given ends, oldest first, weigh, endWeight for each at most,
+// and the number of moments at which they occurred. Each further end at the same moment
+// weighs half, since it may have the same cause, and so does one under an answer that had
+// begun, since a server runs more answers than it has requests that wait.
 func weigh(ends []datedEnd) (weight, moments int) {
 	var counted time.Time
 	for _, end := range ends {
+		own := endWeight
 		if moments == 0 || end.at.Sub(counted) >= sameMoment {
 			moments++
 			counted = end.at
+		} else {
+			own /= 2
+		}
+		if end.position > 0 {
+			own /= 2
 		}
+		weight += own
 	}
-	return moments + (len(ends)-moments)/2, moments
+	return weight, moments
 }
--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -4,12 +4,15 @@
 // The load pattern that it answers: a few requests have a part in common that ends
 // each server which begins the answer, and arrive at any relay. Each end also breaks
 // requests that merely ran beside them. The evidence about a part is the set of server
-// ends under which a request with it was waiting for its answer, since an answer to a
-// request with it last began. A part is quarantined for a run of ends that no begun
-// answer interrupts, unless another part explains them better or it was present at few of
-// the ends of that time and shortly before. Answers to other requests must have begun
-// meanwhile, or the servers may all be ending. Further servers that end at the same
-// moment, as in the loss of a rack, count half.
+// ends under which a request with it was running, whether its answer had begun or not. An
+// answer refutes the ends before it if it is whole, or has got well past the event at which
+// they broke requests with the part: a part that crashes servers at some event never
+// lets an answer get past that. A part is quarantined for a run of ends that no answer
+// refutes, unless another part explains them better or it was present at few of the ends
+// of that time and shortly before. Other requests must have been answered meanwhile, or
+// the servers may all be ending. Further servers that end at the same moment, as in the
+// loss of a rack, count half, and so do ends under answers that have run for long, of
+// which a server has many at a time.
 //
 // Relays exchange evidence. A union of sets is idempotent, so messages may arrive
 // twice, late or in any order, and all relays come to the same verdict.
@@ -19,6 +22,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -40,13 +44,19 @@
 	minServers       = 2               // on which the ends have occurred, or
 	minEndsOneServer = 5               // of one server
 	minMoments       = 2               // at which the ends have occurred
-	minOthers        = 3               // answers to other requests that began meanwhile
+	minOthers        = 3               // whole answers to other requests meanwhile
 	minSuspectEnds   = 2               // for a suspicion
 	foreignPerEnd    = 2               // ends in the same time under requests without the part that demand one more end
 	maxUnrelatedEnds = 1               // of a part whose other ends a deeper part explains
 	foreignWindow    = 2 * time.Second // before the first end, in which such ends count too
 	sameMoment       = 20 * time.Millisecond
 
+	positionClasses = 8 // of ends: class n has up to 2^n - 1 events, the last one has no upper bound
+	classesPast     = 2 // position classes that an answer must be above an end to refute it
+	refutingEvents  = 2 // an answer with fewer events refutes no end unless it is whole
+
+	endWeight = 4 // of an end at a moment of its own, under requests that wait
+
 	firstPause = 30 * time.Second // from the last end to the first trial; doubles with each trial that fails
 	maxPause   = 10 * time.Minute
 	trialRound = 10 * time.Second // in which one relay may try a part; longer than it takes to learn the outcome
@@ -54,10 +64,10 @@
 
 	evidenceTTL = 10 * time.Minute // after the last end, or after a trial was due
 
-	maxParts      = 256 // in a table
-	maxEnds       = 32  // of a part; the newest are kept
-	maxServerEnds = 256 // in a table, whichever requests they broke
-	maxEvidence   = 64  // in a message
+	maxParts      = 1024 // in a table; a server may end under dozens of requests with two or three parts each
+	maxEnds       = 32   // of a part; the newest are kept
+	maxServerEnds = 256  // in a table, whichever requests they broke
+	maxEvidence   = 64   // in a message
 	maxDepth      = 1 << 16
 	maxOthers     = 1 << 16
 
@@ -84,7 +94,7 @@
 	// Table holds the evidence about parts of prompts. Create it with New.
 	Table struct {
 		size  atomic.Int32  // len(parts), readable without mu
-		begun atomic.Uint64 // answers begun at this relay
+		whole atomic.Uint64 // whole answers at this relay
 		mu    rank.Mutex
 		parts map[uint64]*part
 		ends  map[serverStart]time.Time // of all servers, whichever requests they broke
@@ -106,20 +116,22 @@
 		id      uint64
 		depth   int // greatest index in a prompt
 		ends    map[serverStart]endRecord
-		others  int // answers to other requests that began at one relay between the first and the last of ends
+		others  int // whole answers to other requests at one relay between the first and the last of ends
 		lastEnd time.Time
-		begunAt time.Time // when an answer to a request with the part last began
-		trials  int       // that failed
-		tried   int64     // round in which this relay has tried the part
-		changed uint64    // Table.seq of the latest change to send; 0 for nothing to send
+		refuted [positionClasses]time.Time // until when ends at each position are refuted by an answer to a request with the part
+		trials  int                        // that failed
+		tried   int64                      // round in which this relay has tried the part
+		changed uint64                     // Table.seq of the latest change to send; 0 for nothing to send
 		state   State
 	}
 
-	// endRecord is when a server ended, and the value of Table.begun when this
-	// relay learned of it.
+	// endRecord is when a server ended, the position of the answer that had got
+	// furthest of the requests with the part that it broke, and the value of
+	// Table.whole when this relay learned of it.
 	endRecord struct {
-		at    time.Time
-		begun uint64
+		at       time.Time
+		position int // class
+		whole    uint64
 	}
 
 	// serverStart identifies a server from its start to its end.
@@ -188,15 +200,15 @@
 }
 
 // RecordEnd records that a server broke the connection to a request with the given
-// parts before it sent any part of the answer, and reports whether other relays are
-// to be sent evidence.
-func (t *Table) RecordEnd(now time.Time, parts []uint64, serverID string, startedAt int64) bool {
+// parts after it had sent a number of events of the answer, and reports whether other
+// relays are to be sent evidence.
+func (t *Table) RecordEnd(now time.Time, parts []uint64, events int, serverID string, startedAt int64) bool {
 	end := serverStart{server: xxhash.Sum64String(serverID), startedAt: startedAt}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addServerEnd(end, now)
+	changed := t.addServerEnd(end, now)
 	known := t.anyQuarantined(parts)
-	changed := false
+	tell := false
 	for depth, id := range parts {
 		p := t.parts[id]
 		if known && (p == nil || p.state != Quarantined) {
@@ -206,24 +218,43 @@
 			p = t.add(id)
 		}
 		p.depth = max(p.depth, depth)
-		if p.addEnd(end, endRecord{at: now, begun: t.begun.Load()}) {
+		if p.addEnd(end, endRecord{at: now, position: positionClass(events), whole: t.whole.Load()}) {
 			t.markChanged(p)
-			changed = true
+			tell = true
 		}
 	}
-	t.judge()
-	return changed
+	if changed || tell {
+		t.judge()
+	}
+	return tell
+}
+
+// RecordProgress records that a number of events of the answer to a request with the
+// given parts have been received, and reports whether other relays are to be sent
+// evidence.
+func (t *Table) RecordProgress(now time.Time, parts []uint64, events int) bool {
+	if events < refutingEvents || t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refuteEnds(now, parts, min(bits.Len(uint(events))-classesPast, positionClasses-2))
 }
 
-// RecordBegun records that the answer to a request with the given parts has begun,
-// and reports whether other relays are to be sent evidence.
-func (t *Table) RecordBegun(now time.Time, parts []uint64) bool {
-	t.begun.Add(1)
+// RecordWhole records that the answer to a request with the given parts is whole, and
+// reports whether other relays are to be sent evidence.
+func (t *Table) RecordWhole(now time.Time, parts []uint64) bool {
+	t.whole.Add(1)
 	if t.size.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.refuteEnds(now, parts, positionClasses-1)
+}
+
+// refuteEnds refutes the ends of the parts before now at positions up to the given class.
+func (t *Table) refuteEnds(now time.Time, parts []uint64, position int) bool {
 	before := t.seq
 	changed := false
 	for _, id := range parts {
@@ -232,8 +263,9 @@
 			continue
 		}
 		relevant := p.state != Sound
-		changed = t.clear(p, now) || changed
-		if relevant {
+		refuted := t.refute(p, now, position)
+		changed = changed || refuted
+		if relevant && (refuted || position == positionClasses-1) {
 			t.markChanged(p)
 		}
 	}
@@ -243,6 +275,12 @@
 	return t.seq > before
 }
 
+// positionClass returns the class of the position of an answer of which a number of
+// events have been received.
+func positionClass(events int) int {
+	return min(bits.Len(uint(max(events, 0))), positionClasses-1)
+}
+
 // Expire removes evidence that is no longer used.
 func (t *Table) Expire(now time.Time) {
 	if t.size.Load() == 0 {
@@ -328,18 +366,23 @@
 	p.changed = t.seq
 }
 
-// clear removes the ends before begunAt, when an answer to a request with the part
-// began, and reports whether there were any. After a trial that succeeded, the ends
-// that the part explained aren't held against other parts either.
-func (t *Table) clear(p *part, begunAt time.Time) bool {
-	if !begunAt.After(p.begunAt) {
+// refute removes the ends until at that broke requests with the part at positions up to
+// the given class, since an answer to such a request has got past them, and reports
+// whether there were any. After a trial whose answer is whole, the ends that the part
+// explained aren't held against other parts either.
+func (t *Table) refute(p *part, at time.Time, position int) bool {
+	if !at.After(p.refuted[position]) {
 		return false
 	}
-	p.begunAt = begunAt
+	for i := range position + 1 {
+		if at.After(p.refuted[i]) {
+			p.refuted[i] = at
+		}
+	}
 	changed := false
-	trialSucceeded := p.state == Quarantined && !begunAt.Before(p.trialDue())
+	trialSucceeded := position == positionClasses-1 && p.state == Quarantined && !at.Before(p.trialDue())
 	for end, record := range p.ends {
-		if record.at.After(begunAt) {
+		if !p.refutes(record) {
 			continue
 		}
 		changed = true
@@ -361,28 +404,34 @@
 	return changed
 }
 
-// addServerEnd adds the end of a server.
-func (t *Table) addServerEnd(end serverStart, at time.Time) {
+// refutes reports whether an answer has refuted an end.
+func (p *part) refutes(end endRecord) bool { return !end.at.After(p.refuted[end.position]) }
+
+// addServerEnd adds the end of a server and reports whether that changes anything.
+func (t *Table) addServerEnd(end serverStart, at time.Time) bool {
 	if known, ok := t.ends[end]; ok && !at.Before(known) {
-		return
+		return false
 	}
 	t.ends[end] = at
 	if len(t.ends) > maxServerEnds {
 		delete(t.ends, oldest(t.ends))
 	}
+	return true
 }
 
-// addEnd adds an end and reports whether it is new. An end after a trial was due is
-// a trial that failed.
+// addEnd adds an end and reports whether it is new, or was further into an answer than
+// known. An end after a trial was due is a trial that failed.
 func (p *part) addEnd(end serverStart, record endRecord) bool {
 	if known, ok := p.ends[end]; ok {
+		further := record.position > known.position
+		known.position = max(known.position, record.position)
 		if record.at.Before(known.at) {
 			known.at = record.at
-			p.ends[end] = known
 		}
-		return false
+		p.ends[end] = known
+		return further
 	}
-	if !record.at.After(p.begunAt) {
+	if p.refutes(record) {
 		return false
 	}
 	if p.state == Quarantined && !record.at.Before(p.trialDue()) {
@@ -393,11 +442,11 @@
 		p.lastEnd = record.at
 		p.tried = 0 // rounds count from the last end
 	}
-	least := record.begun
+	least := record.whole
 	for _, r := range p.ends {
-		least = min(least, r.begun)
+		least = min(least, r.whole)
 	}
-	p.others = max(p.others, int(min(record.begun-least, maxOthers)))
+	p.others = max(p.others, int(min(record.whole-least, maxOthers)))
 	if len(p.ends) > maxEnds {
 		times := map[serverStart]time.Time{}
 		for end, record := range p.ends {
--- a/internal/prompts/quarantine/scenario_test.go
+++ b/internal/prompts/quarantine/scenario_test.go
@@ -24,8 +24,9 @@
 	//
 	//	relays NAME...
 	//	delay MS                              of messages between relays
-	//	MS RELAY end SERVER[/START] PART...   a server ends under a request
-	//	MS RELAY begun PART...                an answer begins
+	//	MS RELAY end SERVER[/START][@N] PART...   a server ends under a request after N events of its answer
+	//	MS RELAY whole PART...                an answer is whole
+	//	MS RELAY reached N PART...            N events of an answer have been received
 	//	MS RELAY request PART...              a request arrives; prints what happens to it
 	//	MS RELAY restart                      the relay loses its state and gets that of the others
 	//	MS expire                             all relays remove old evidence
@@ -101,13 +102,23 @@
 	table := s.tables[relay]
 	switch verb {
 	case "end":
-		server, startedAt, _ := strings.Cut(args[0], "/")
+		name, position, _ := strings.Cut(args[0], "@")
+		events, _ := strconv.Atoi(position) // 0 if not given
+		server, startedAt, _ := strings.Cut(name, "/")
 		n, _ := strconv.ParseInt(startedAt, 10, 64) // 0 if not given
-		if table.RecordEnd(now, s.parts(args[1:]), server, n) {
+		if table.RecordEnd(now, s.parts(args[1:]), events, server, n) {
 			s.tell(now, relay)
 		}
-	case "begun":
-		if table.RecordBegun(now, s.parts(args)) {
+	case "whole":
+		if table.RecordWhole(now, s.parts(args)) {
+			s.tell(now, relay)
+		}
+	case "reached":
+		events, err := strconv.Atoi(args[0])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if table.RecordProgress(now, s.parts(args[1:]), events) {
 			s.tell(now, relay)
 		}
 	case "request":
--- a/internal/prompts/quarantine/table_test.go
+++ b/internal/prompts/quarantine/table_test.go
@@ -20,9 +20,9 @@
 	t := New()
 	for i := range minEnds {
 		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
-		t.RecordEnd(now, []uint64{1, 2, 3}, fmt.Sprintf("s%d", i), 1)
+		t.RecordEnd(now, []uint64{1, 2, 3}, 0, fmt.Sprintf("s%d", i), 1)
 		for other := range minOthers {
-			t.RecordBegun(now.Add(time.Millisecond), []uint64{1, uint64(100 + other)})
+			t.RecordWhole(now.Add(time.Millisecond), []uint64{1, uint64(100 + other)})
 		}
 	}
 	return t
@@ -33,7 +33,7 @@
 	list, _ := t.Snapshot(now, func(uint64) bool { return true })
 	var text strings.Builder
 	for _, e := range list {
-		fmt.Fprintf(&text, "part %d, depth %d, begun %v, ends %v, state %d\n", e.Part, e.Depth, e.Begun, e.Ends, t.parts[e.Part].state)
+		fmt.Fprintf(&text, "part %d, depth %d, whole %v, ends %v, state %d\n", e.Part, e.Depth, e.Whole, e.Ends, t.parts[e.Part].state)
 	}
 	return text.String()
 }
@@ -43,7 +43,7 @@
 func TestMergeOrder(t *testing.T) {
 	now := start.Add(time.Second)
 	list, _ := newStorm().Snapshot(now, func(uint64) bool { return true })
-	list = append(list, Evidence{Part: 4, Ends: []End{{Server: 9, Age: time.Second}}}, Evidence{Part: 2, Begun: 900 * time.Millisecond, Ends: []End{{Server: 7, Age: 800 * time.Millisecond}}})
+	list = append(list, Evidence{Part: 4, Ends: []End{{Server: 9, Age: time.Second}}}, Evidence{Part: 2, Whole: 900 * time.Millisecond, Ends: []End{{Server: 7, Age: 800 * time.Millisecond}}})
 	want := ""
 	rng := rand.New(rand.NewPCG(1, 1))
 	for round := range 20 {
@@ -73,10 +73,10 @@
 	}
 	var list []Evidence
 	for i := range 10_000 {
-		list = append(list, Evidence{Part: uint64(i), Depth: -i, Ends: ends, Begun: -time.Hour, Trials: -1, Others: -1})
+		list = append(list, Evidence{Part: uint64(i), Depth: -i, Ends: ends, Whole: -time.Hour, Trials: -1, Others: -1})
 	}
 	table.Merge(start, list)
-	table.Merge(start, []Evidence{{Part: 1, Depth: 1 << 40, Trials: 1 << 40, Others: 1 << 40, Begun: 1 << 60}})
+	table.Merge(start, []Evidence{{Part: 1, Depth: 1 << 40, Trials: 1 << 40, Others: 1 << 40, Whole: 1 << 60}})
 	if got, want := table.Len(), maxEvidence; got > want {
 		t.Errorf("got %d parts, want at most %d", got, want)
 	}
@@ -97,14 +97,14 @@
 		table := New()
 		servers := []string{"a", "b", "c", "d"}
 		for _, s := range servers {
-			table.RecordEnd(start, []uint64{60}, s, 1)
+			table.RecordEnd(start, []uint64{60}, 0, s, 1)
 		}
 		for other := range uint64(4) {
-			table.RecordBegun(start.Add(time.Second), []uint64{100 + other})
+			table.RecordWhole(start.Add(time.Second), []uint64{100 + other})
 		}
 		for i, s := range servers {
-			table.RecordEnd(start.Add(time.Duration(2000+i/2*100+i)*time.Millisecond), []uint64{7}, s, 1)
-			table.RecordBegun(start.Add(2100*time.Millisecond), []uint64{uint64(200 + i)})
+			table.RecordEnd(start.Add(time.Duration(2000+i/2*100+i)*time.Millisecond), []uint64{7}, 0, s, 1)
+			table.RecordWhole(start.Add(2100*time.Millisecond), []uint64{uint64(200 + i)})
 		}
 		states[table.Check(start.Add(2300*time.Millisecond), []uint64{7}).State]++
 	}
@@ -119,7 +119,7 @@
 	table := newStorm()
 	now := start.Add(time.Second)
 	for i := range 2000 {
-		table.RecordEnd(now.Add(time.Duration(i)*time.Millisecond), []uint64{uint64(1000 + i)}, fmt.Sprint("t", i%500), 1)
+		table.RecordEnd(now.Add(time.Duration(i)*time.Millisecond), []uint64{uint64(1000 + i)}, 0, fmt.Sprint("t", i%500), 1)
 	}
 	if got := table.Len(); got != maxParts {
 		t.Errorf("got %d parts, want %d", got, maxParts)
@@ -145,75 +145,139 @@
 	}
 }
 
-// TestHerdOfKills kills half of the servers within two seconds while requests for many
-// parts, some of them rare, run everywhere. No part may be quarantined: a rare one may be
-// at two or three ends in a row by chance.
-func TestHerdOfKills(t *testing.T) {
-	rank.DisableChecks()
-	const (
-		herds         = 1000
-		servers       = 40
-		kills         = 20
-		killEvery     = 100 * time.Millisecond
-		requestEvery  = 5 * time.Millisecond
-		untilAnswer   = 150 * time.Millisecond
-		subjects      = 300
-		attempts      = 2
-		roundsPerSeed = int(3 * time.Second / requestEvery)
-	)
-	type request struct {
-		parts    []uint64
-		server   int
-		answer   time.Time
-		attempts int
+// herd is a series of kills of servers while requests for many parts, some of them rare,
+// run everywhere. No part crashes a server.
+type herd struct {
+	servers   int
+	kills     int
+	killEvery time.Duration
+	rack      int // servers that are killed at a time
+	subjects  int // rare parts
+	requests  int // in 5 ms
+	events    int // of an answer at most
+	eventWait time.Duration
+}
+
+// herdRequest is a running request of a herd.
+type herdRequest struct {
+	parts    []uint64
+	server   int
+	sent     time.Duration // since the start
+	events   int           // of the whole answer
+	attempts int
+}
+
+const (
+	herdStep       = 5 * time.Millisecond
+	herdFirstEvent = 150 * time.Millisecond
+	herdAttempts   = 2
+	herdReport     = 100 * time.Millisecond // between two reports of an answer's progress
+)
+
+// place sends a request to a server.
+func (h herd) place(rng *rand.Rand, alive int, r herdRequest, now time.Duration) herdRequest {
+	r.server = rng.IntN(alive)
+	r.sent = now
+	r.attempts++
+	return r
+}
+
+// received returns how many events of the answer to r have been received.
+func (h herd) received(r herdRequest, now time.Duration) int {
+	since := now - r.sent - herdFirstEvent
+	if since < 0 {
+		return 0
 	}
-	var misjudged []uint64
-	for seed := range uint64(herds) {
-		rng := rand.New(rand.NewPCG(seed, 2))
-		table := New()
-		alive := servers
-		var running []request
-		place := func(r request, now time.Time) request {
-			r.server = rng.IntN(alive)
-			r.answer = now.Add(untilAnswer)
-			r.attempts++
-			return r
+	return min(1+int(since/max(h.eventWait, 1)), r.events)
+}
+
+// misjudges reports whether a part is quarantined at any moment.
+func (h herd) misjudges(seed uint64) bool {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	table := New()
+	alive := h.servers
+	var running []herdRequest
+	firstKill := (time.Duration(h.events) * h.eventWait).Round(herdStep)
+	for now := time.Duration(0); now < firstKill+3*time.Second; now += herdStep {
+		before := alive
+		if now >= firstKill && (now-firstKill)%h.killEvery == 0 && h.servers-alive < h.kills {
+			alive -= h.rack
 		}
-		for step := range roundsPerSeed {
-			now := start.Add(time.Duration(step) * requestEvery)
-			var next []request
-			killed := step%int(killEvery/requestEvery) == 0 && servers-alive < kills
-			if killed {
-				alive--
-			}
-			for _, r := range running {
-				switch {
-				case killed && r.server == alive:
-					table.RecordEnd(now, r.parts, fmt.Sprint("s", alive), 1)
-					if r.attempts < attempts {
-						next = append(next, place(r, now))
-					}
-				case !now.Before(r.answer):
-					table.RecordBegun(now, r.parts)
-				default:
-					next = append(next, r)
+		kept := running[:0]
+		for _, r := range running {
+			events := h.received(r, now)
+			switch {
+			case r.server >= alive && r.server < before:
+				table.RecordEnd(start.Add(now), r.parts, events, fmt.Sprint("s", r.server), 1)
+				if r.attempts < herdAttempts {
+					kept = append(kept, h.place(rng, alive, r, now))
 				}
+			case events == r.events:
+				table.RecordWhole(start.Add(now), r.parts)
+			default:
+				if (now-r.sent)%herdReport == 0 {
+					table.RecordProgress(start.Add(now), r.parts, events)
+				}
+				kept = append(kept, r)
 			}
-			running = append(next, place(request{parts: []uint64{uint64(rng.IntN(4)), uint64(10 + rng.IntN(subjects))}}, now))
-			if got := table.Count(Quarantined); got != 0 {
-				misjudged = append(misjudged, seed)
-				break
-			}
+		}
+		running = kept
+		for range h.requests {
+			r := herdRequest{parts: []uint64{uint64(rng.IntN(4)), uint64(10 + rng.IntN(h.subjects))}, events: 1 + rng.IntN(h.events)}
+			running = append(running, h.place(rng, alive, r, now))
+		}
+		if len(table.Transitions()) > 0 {
+			return true
 		}
 	}
-	if len(misjudged) > 0 {
-		t.Errorf("got parts quarantined with %d of %d seeds, %v, want none", len(misjudged), herds, misjudged)
+	return false
+}
+
+// TestHerdOfKills kills half of the servers within two seconds. No part may be
+// quarantined: a rare one may be at two or three ends in a row by chance.
+func TestHerdOfKills(t *testing.T) {
+	rank.DisableChecks()
+	const herds = 1000
+	for _, c := range []struct {
+		name string
+		herd herd
+	}{
+		{"short answers", herd{servers: 40, kills: 20, killEvery: 100 * time.Millisecond, rack: 1, subjects: 300, requests: 1, events: 1}},
+		{"streams", herd{servers: 40, kills: 20, killEvery: 100 * time.Millisecond, rack: 1, subjects: 300, requests: 1, events: 60, eventWait: 30 * time.Millisecond}},
+		{"racks", herd{servers: 40, kills: 24, killEvery: 400 * time.Millisecond, rack: 4, subjects: 300, requests: 1, events: 60, eventWait: 30 * time.Millisecond}},
+		{"few servers", herd{servers: 6, kills: 5, killEvery: 300 * time.Millisecond, rack: 1, subjects: 40, requests: 1, events: 60, eventWait: 30 * time.Millisecond}},
+		{"few subjects", herd{servers: 12, kills: 9, killEvery: 100 * time.Millisecond, rack: 1, subjects: 12, requests: 1, events: 60, eventWait: 30 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var misjudged []uint64
+			for seed := range uint64(herds) {
+				if c.herd.misjudges(seed) {
+					misjudged = append(misjudged, seed)
+				}
+			}
+			if len(misjudged) > 0 {
+				t.Errorf("got parts quarantined with %d of %d seeds, %v, want none", len(misjudged), herds, misjudged[:min(len(misjudged), 20)])
+			}
+		})
 	}
 }
 
 // TestManyRelays spreads the evidence of a storm to 300 relays, each of which sees a
-// single end at most, and prints what each relay sends.
+// single end at most, and prints what each relay sends. In the second storm, each server
+// that ends runs streams of 48 more relays.
 func TestManyRelays(t *testing.T) {
+	var got strings.Builder
+	spreadStorm(t, &got, 0)
+	golden.Check(t, "relays.golden", got.String())
+	got.Reset()
+	spreadStorm(t, &got, 48)
+	golden.Check(t, "relayswithstreams.golden", got.String())
+}
+
+// spreadStorm writes how the evidence of four ends spreads. Each breaks streams of a
+// number of relays besides the two requests that wait.
+func spreadStorm(t *testing.T, got *strings.Builder, streams int) {
 	const (
 		relays = 300
 		delay  = 120 * time.Millisecond // evidenceDelay of package relay and the network
@@ -222,19 +286,23 @@
 	for range relays {
 		tables = append(tables, New())
 	}
-	var got strings.Builder
 	now := start
 	cursors := make([]uint64, relays)
 	for end := range 4 {
 		for i, table := range tables { // sound requests with the same first part everywhere
 			for k := range 4 {
-				table.RecordBegun(now.Add(-delay/2), []uint64{1, uint64(1000 + i*10 + k)})
+				table.RecordWhole(now.Add(-delay/2), []uint64{1, uint64(1000 + i*10 + k)})
 			}
 		}
 		told := []int{end}
-		tables[end].RecordEnd(now, []uint64{1, 2, 3}, fmt.Sprint("s", end), 1)
-		tables[10+end].RecordEnd(now, []uint64{1, uint64(50 + end)}, fmt.Sprint("s", end), 1)
+		server := fmt.Sprint("s", end)
+		tables[end].RecordEnd(now, []uint64{1, 2, 3}, 0, server, 1)
+		tables[10+end].RecordEnd(now, []uint64{1, uint64(50 + end)}, 0, server, 1)
 		told = append(told, 10+end)
+		for i := range streams {
+			tables[20+i].RecordEnd(now, []uint64{1, uint64(1000 + i*10 + end)}, 40, server, 1)
+			told = append(told, 20+i)
+		}
 		messages, size := 0, 0
 		for hop := 0; len(told) > 0 && hop < 5; hop++ {
 			now = now.Add(delay)
@@ -265,9 +333,8 @@
 				rejecting++
 			}
 		}
-		fmt.Fprintf(&got, "end %d: %d relays tell the others %d bytes altogether; %v later %d of %d relays reject the part\n", end+1, messages, size, now.Sub(start).Round(10*time.Millisecond), rejecting, relays)
+		fmt.Fprintf(got, "end %d: %d relays tell the others %d bytes altogether; %v later %d of %d relays reject the part\n", end+1, messages, size, now.Sub(start).Round(10*time.Millisecond), rejecting, relays)
 	}
-	golden.Check(t, "relays.golden", got.String())
 }
 
 // BenchmarkCheck measures the look-up that each request costs.
@@ -275,7 +342,7 @@
 	rank.DisableChecks()
 	full := newStorm()
 	for i := range 2 * maxParts {
-		full.RecordEnd(start.Add(time.Second), []uint64{uint64(1000 + i)}, fmt.Sprint("t", i), 1)
+		full.RecordEnd(start.Add(time.Second), []uint64{uint64(1000 + i)}, 0, fmt.Sprint("t", i), 1)
 	}
 	for _, c := range []struct {
 		name  string
@@ -289,3 +356,18 @@
 		})
 	}
 }
+
+// BenchmarkRecordEnd measures what each request that a server's end breaks costs in a
+// table that is full.
+func BenchmarkRecordEnd(b *testing.B) {
+	rank.DisableChecks()
+	table := newStorm()
+	for i := range 2 * maxParts {
+		table.RecordEnd(start.Add(time.Second), []uint64{uint64(1000 + i)}, 10, fmt.Sprint("t", i%maxServerEnds), 1)
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		table.RecordEnd(start.Add(time.Second), []uint64{1, uint64(1000 + i%maxParts)}, 10, fmt.Sprint("u", i%maxServerEnds), 1)
+	}
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -31,8 +31,8 @@
 	class    ResponseClass
 	sentAt   time.Time
 	cancel   context.CancelFunc
-	begun    bool // a part of the response has been forwarded
-	hasEvent bool // an event of this response has been received
+	events   int       // of this response that have been received
+	recorded time.Time // when the progress was last recorded
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -44,7 +44,7 @@
 	if err != nil {
 		f.endTicket(placement.NoResponse, elapsed)
 		err = fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s failed: %v", f.ticket.Server.ID, err)
-		j.recordServerEnd(f.ticket, err)
+		j.recordServerEnd(f.ticket, err, 0)
 		return err
 	}
 	if f.class == Failed {
@@ -52,7 +52,7 @@
 		j.errorResponse = &errorResponse{status: f.resp.Status, header: f.resp.Header, body: body}
 		return fault.New(fault.Broken, fault.HasRun, "backend server %s responded with status %d", f.ticket.Server.ID, f.resp.Status)
 	}
-	j.recordBegun()
+	j.recordWhole()
 	f.endTicket(placement.Succeeded, elapsed)
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
@@ -80,12 +80,12 @@
 			err = io.ErrUnexpectedEOF
 		}
 		ids := j.relay.dialect.EventIDs(complete)
-		if resumed && !f.hasEvent && len(ids) > 0 && !j.position.continuedBy(ids[0]) {
+		if resumed && f.events == 0 && len(ids) > 0 && !j.position.continuedBy(ids[0]) {
 			return f.handleBrokenStream(errNotResumed)
 		}
-		f.hasEvent = f.hasEvent || len(ids) > 0
+		f.countEvents(len(ids))
 		switch {
-		case err != io.EOF || f.hasEvent:
+		case err != io.EOF || f.events > 0:
 		case resumed:
 			err = errNoEvent
 		case !f.resp.Framed():
@@ -96,6 +96,9 @@
 		}
 		switch {
 		case err == io.EOF:
+			if f.events > 0 {
+				j.recordWhole()
+			}
 			f.endTicket(placement.Succeeded, j.timeToFirstByte)
 			return nil
 		case err != nil || tooLarge:
@@ -104,6 +107,16 @@
 	}
 }
 
+// countEvents counts events that have been received, and records the progress of the
+// answer now and then.
+func (f *responseForwarder) countEvents(n int) {
+	f.events += n
+	if now := time.Now(); n > 0 && now.Sub(f.recorded) >= progressInterval {
+		f.recorded = now
+		f.job.recordProgress(now, f.events)
+	}
+}
+
 // forwardEvents writes complete events to the caller. The response header is
 // written together with the first of them, or at the end of an empty stream.
 func (f *responseForwarder) forwardEvents(events []byte, ids []string, atEOF bool) error {
@@ -111,10 +124,6 @@
 	if len(events) == 0 && (!atEOF || j.response.headerSent) {
 		return nil
 	}
-	if !f.begun && len(events) > 0 {
-		f.begun = true
-		j.recordBegun()
-	}
 	if j.timeToFirstByte == 0 {
 		j.timeToFirstByte = time.Since(j.start)
 		f.ticket.ResponseBegun(time.Now(), time.Since(f.sentAt))
@@ -148,8 +157,8 @@
 	if j.ctx.Err() != nil {
 		streamErr = fault.New(fault.DeadlineExceeded, fault.MaybeRun, "deadline passed or request canceled while streaming from backend server %s", f.ticket.Server.ID)
 	}
-	if !f.begun && !errors.Is(err, errNoEvent) && !errors.Is(err, errNotResumed) {
-		j.recordServerEnd(f.ticket, streamErr)
+	if !errors.Is(err, errNoEvent) && !errors.Is(err, errNotResumed) {
+		j.recordServerEnd(f.ticket, streamErr, f.events)
 	}
 	if !j.response.headerSent {
 		return streamErr
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -164,7 +164,7 @@
 		r := &Relay{quarantine: quarantine.New(), metrics: &relayMetrics{set: metrics.NewSet()}}
 		r.evidence = newEvidenceExchange(r)
 		j := &job{relay: r, parts: []uint64{1, 2}, attemptCtx: c.ctx}
-		j.recordServerEnd(&placement.Ticket{Server: roster.Server{ID: "a"}}, fault.New(c.kind, c.ran, "failed"))
+		j.recordServerEnd(&placement.Ticket{Server: roster.Server{ID: "a"}}, fault.New(c.kind, c.ran, "failed"), 0)
 		if got := r.quarantine.Len(); got != c.want {
 			t.Errorf("%s: got evidence about %d parts, want %d", c.name, got, c.want)
 		}
--- a/relay/job.go
+++ b/relay/job.go
@@ -63,7 +63,9 @@
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
 	choice          placement.Choice // the latest
 	serverID        string
-	endedServerID   string // of the latest server that broke the connection before it sent any part of the answer
+	endedServerID   string // of the latest server that broke the connection
+	endedServers    int    // that broke the connection
+	endedAfter      int    // events of the latest one's answer
 	prefillServerID string
 	prefillTime     time.Duration // how long the prefill took on that server
 }
@@ -333,7 +335,7 @@
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
 		if fault.FromError(err).Ran != fault.NotRun {
 			j.executions++
-			j.recordServerEnd(ticket, err)
+			j.recordServerEnd(ticket, err, 0)
 		} else {
 			j.releaseKV(opts)
 		}
--- a/relay/log.go
+++ b/relay/log.go
@@ -62,6 +62,7 @@
 	}
 	if j.endedServerID != "" {
 		fields["ended"] = j.endedServerID
+		fields["events"] = j.endedAfter
 	}
 	if j.prefillServerID != "" {
 		fields["reader"] = j.prefillServerID
@@ -86,6 +87,7 @@
 	}
 	if j.endedServerID == j.serverID {
 		fields["ended"] = j.endedServerID
+		fields["events"] = j.endedAfter
 	}
 	j.relay.log.WithFields(fields).Info("request is sent again")
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -34,7 +34,7 @@
 }
 
 // countServerEnd counts a request whose connection a server of the service broke
-// before it sent any part of the answer.
+// before the answer was whole.
 func (m *relayMetrics) countServerEnd(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_ended_total{service=%q}`, service)).Inc()
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	evidenceDelay    = 10 * time.Millisecond // in which evidence is collected; the end of one server breaks many requests
-	evidenceInterval = 80 * time.Millisecond // at least, until evidence is sent again
-	maxRetryAfter    = time.Minute           // a caller isn't sent away for longer
+	evidenceDelay    = 10 * time.Millisecond  // in which evidence is collected; the end of one server breaks many requests
+	evidenceInterval = 80 * time.Millisecond  // at least, until evidence is sent again
+	maxRetryAfter    = time.Minute            // a caller isn't sent away for longer
+	progressInterval = 100 * time.Millisecond // between two records of an answer's progress
+	maxServerEnds    = 2                      // under one request; it isn't sent to another server then
 )
 
 // evidenceExchange wakes the senders of load messages when there is evidence about
@@ -78,23 +80,33 @@
 }
 
 // recordServerEnd records that a server may have ended under the request: the
-// connection broke after err, before any part of the answer arrived. A failure that
-// the relay itself or the caller caused says nothing about the server.
-func (j *job) recordServerEnd(ticket *placement.Ticket, err error) {
+// connection broke after err, when the relay had received a number of events of the
+// answer. A failure that the relay itself or the caller caused says nothing about the
+// server.
+func (j *job) recordServerEnd(ticket *placement.Ticket, err error, events int) {
 	e := fault.FromError(err)
 	if e.Kind != fault.Broken || e.Ran != fault.MaybeRun || j.attemptCtx.Err() != nil {
 		return
 	}
 	j.endedServerID = ticket.Server.ID
+	j.endedServers++
+	j.endedAfter = events
 	j.relay.metrics.countServerEnd(j.service)
 	r := j.relay
-	r.evidence.notify(r.quarantine.RecordEnd(time.Now(), j.parts, ticket.Server.ID, ticket.Server.StartedAt))
+	r.evidence.notify(r.quarantine.RecordEnd(time.Now(), j.parts, events, ticket.Server.ID, ticket.Server.StartedAt))
 }
 
-// recordBegun records that the answer has begun.
-func (j *job) recordBegun() {
+// recordProgress records how many events of the answer have been received.
+func (j *job) recordProgress(now time.Time, events int) {
 	if len(j.parts) > 0 {
-		j.relay.evidence.notify(j.relay.quarantine.RecordBegun(time.Now(), j.parts))
+		j.relay.evidence.notify(j.relay.quarantine.RecordProgress(now, j.parts, events))
+	}
+}
+
+// recordWhole records that the answer is whole.
+func (j *job) recordWhole() {
+	if len(j.parts) > 0 {
+		j.relay.evidence.notify(j.relay.quarantine.RecordWhole(time.Now(), j.parts))
 	}
 }
 
@@ -133,10 +145,14 @@
 }
 
 // repeatsServerEnd reports whether another send of the request might end another
-// server: one has ended under it, and a part of its prompt may be the reason.
+// server: several have ended under it, or one has and a part of its prompt may be the
+// reason.
 func (j *job) repeatsServerEnd(now time.Time) bool {
-	if j.endedServerID == "" {
+	switch {
+	case j.endedServers == 0 || len(j.parts) == 0:
 		return false
+	case j.endedServers >= maxServerEnds:
+		return true
 	}
 	return j.trial || j.relay.quarantine.Check(now, j.parts).State != quarantine.Sound
 }
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -33,11 +33,12 @@
 	}
 }
 
-// newCrashTestbed starts servers that crash on the part "bad" of a prompt.
-func newCrashTestbed(t *testing.T, servers int) *testbed {
+// newCrashTestbed starts servers that crash on the part "bad" of a prompt after a number
+// of events.
+func newCrashTestbed(t *testing.T, servers, crashAt int) *testbed {
 	var list []*backendServer
 	for i := range servers {
-		list = append(list, &backendServer{name: fmt.Sprintf("s%d", i), crashOn: "bad:", script: []string{streamResponse(event(1))}})
+		list = append(list, &backendServer{name: fmt.Sprintf("s%d", i), crashOn: "bad:", crashAt: crashAt, script: []string{streamResponse(event(1))}})
 	}
 	b := newTestbed(t, oneRoute(routes.Stream, 2, true), list...)
 	b.mu.Lock()
@@ -55,7 +56,7 @@
 		maxCrashes  = 5
 		soundPerBad = 4
 	)
-	b := newCrashTestbed(t, 8)
+	b := newCrashTestbed(t, 8, 0)
 	relays := []*relay.Relay{b.relay, b.startRelay("second", "near")}
 	<-time.After(peerWait)
 	rejected := 0
@@ -93,6 +94,43 @@
 	}
 }
 
+// TestPromptPartCrashesServersMidway has servers crash on a part of the prompt after
+// some events of the answer, which had counted as proof that the part is sound. The
+// relays must reject requests with the part all the same, and serve sound ones.
+func TestPromptPartCrashesServersMidway(t *testing.T) {
+	const (
+		servers    = 12
+		requests   = 20
+		maxCrashes = 8 // 5, and 3 requests more that the verdict may come too late for
+	)
+	for _, crashAt := range []int{1, 3, 8, 40} {
+		t.Run(fmt.Sprint(crashAt), func(t *testing.T) {
+			t.Parallel()
+			b := newCrashTestbed(t, servers, crashAt)
+			relays := []*relay.Relay{b.relay, b.startRelay("second", "near")}
+			<-time.After(peerWait)
+			var last string
+			for i := range requests {
+				r := relays[i%len(relays)]
+				last = b.sendTo(r, http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 900,2\r\nPrompt-Prefix: first:200,bad:100,last%d:300\r\n", i), "x")
+				for k := range 4 {
+					if got := b.sendTo(r, http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 900,2\r\nPrompt-Prefix: first:200,other%d-%d:300,last:400\r\n", i, k), "x"); !strings.HasPrefix(got, "200 ") {
+						t.Errorf("request %d: got %s for a sound request, want status 200", i, got)
+					}
+				}
+				b.announceEnds()
+				<-time.After(200 * time.Millisecond) // the relays exchange evidence each 90 ms
+			}
+			if got := b.crashCount(); got > maxCrashes {
+				t.Errorf("got %d servers ended, want at most %d", got, maxCrashes)
+			}
+			if !strings.HasPrefix(last, "503 Retry-After=") {
+				t.Errorf("got %s for the last request with the part, want status 503", last)
+			}
+		})
+	}
+}
+
 // TestServerEndAfterHead has servers end after the head of a stream that ends with its
 // connection. That is neither a complete answer nor one that has begun.
 func TestServerEndAfterHead(t *testing.T) {
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -58,7 +59,8 @@
 		stage    roster.Stage
 		domain   string
 		script   []string
-		crashOn  string // part of a prompt on which the server ends within the first event of its answer
+		crashOn  string // part of a prompt on which the server ends within its answer
+		crashAt  int    // whole events before the one within which the server ends
 		stray    string // written before each response but the first on a connection
 		release  chan struct{}
 		listener net.Listener
@@ -306,7 +308,7 @@
 		case "drop":
 			return
 		case "crash":
-			_, _ = io.WriteString(c, streamResponse("id: 1\nda", "<cut>"))
+			_ = writeWithPauses(c, strings.TrimSuffix(s.crashResponse(r), "<cut>"))
 			s.end()
 			return
 		case "hang":
@@ -332,6 +334,20 @@
 	}
 }
 
+// crashResponse returns what the server sends before it ends on crashOn.
+func (s *backendServer) crashResponse(r *http.Request) string {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if it doesn't go on
+	var events []string
+	for range s.crashAt {
+		last++
+		events = append(events, event(last))
+	}
+	if s.crashAt > 0 {
+		events = append(events, "<pause 30ms>")
+	}
+	return streamResponse(append(events, fmt.Sprintf("id: %d\nda", last+1), "<cut>")...)
+}
+
 // writeWithPauses writes text and waits where it contains "<pause DURATION>".
 func writeWithPauses(w io.Writer, text string) error {
 	for i, part := range strings.Split(text, "<pause ") {
