Count the ends of engines that prefill for another one

Callers saw: where a part of prompts ends engines of both kinds, twice as many end as need to before requests with it are rejected.

Cause: a broken connection to an engine that prefills was treated as a refusal; only ends under the request itself were recorded.

Evidence: TestPromptPartCrashesPrefillers: 7 engines ended, want 5 at most.

Change: a prefill whose connection breaks is recorded as an end at the first position.

--- a/relay/job.go
+++ b/relay/job.go
@@ -271,6 +271,7 @@
 func (j *job) prefill(choice placement.Choice, opts *SendOptions) error {
 	ticket := choice.Prefiller
 	j.prefillServerID = ticket.Server.ID
+	j.attemptCtx = j.ctx
 	sentAt := time.Now()
 	body, err := j.sendPrefill(ticket, *opts)
 	elapsed := time.Since(sentAt)
@@ -278,6 +279,7 @@
 		j.colocated = true
 		j.tried[ticket.Server.ID] = true
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
+		j.recordServerEnd(ticket, err, 0)
 		return fault.New(fault.KindOf(err), fault.NotRun, "%s", fault.FromError(err).Message)
 	}
 	j.prefillTime = elapsed
@@ -307,7 +309,7 @@
 	}
 	body, err := readAll(resp, maxHandleBytes)
 	if err != nil {
-		return nil, fault.New(fault.Broken, fault.NotRun, "reading the response of backend server %s to a prefill failed: %v", ticket.Server.ID, err)
+		return nil, fault.New(fault.Broken, fault.MaybeRun, "reading the response of backend server %s to a prefill failed: %v", ticket.Server.ID, err)
 	}
 	return body, nil
 }
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -131,6 +131,39 @@
 	}
 }
 
+// TestPromptPartCrashesPrefillers has engines crash on a part of the prompt, those that
+// prefill it for another engine too, whose ends weren't counted. The relay must reject
+// requests with the part before more than a few engines have ended.
+func TestPromptPartCrashesPrefillers(t *testing.T) {
+	const maxCrashes = 5
+	var list []*backendServer
+	for i := range 8 {
+		list = append(list,
+			&backendServer{name: fmt.Sprintf("p%d", i), stage: roster.Prefill, crashOn: "bad:", script: []string{plainResponse(200, `{"kvHandle":"h","tokens":2900}`)}},
+			&backendServer{name: fmt.Sprintf("d%d", i), stage: roster.Decode, crashOn: "bad:", script: []string{streamResponse(event(1))}})
+	}
+	routeList := oneRoute(routes.Stream, 2, true)
+	routeList[0].Timeout = 6 * time.Second
+	b := newTestbed(t, routeList, list...)
+	var last string
+	for i := range 12 {
+		last = b.send(http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 2900,2\r\nPrompt-Prefix: first:200,bad:100,last%d:2600\r\n", i), "x")
+		for k := range 4 {
+			if got := b.send(http.MethodPost, "/a/", fmt.Sprintf("Token-Counts: 2900,2\r\nPrompt-Prefix: first:200,other%d-%d:100,last:2600\r\n", i, k), "x"); !strings.HasPrefix(got, "200 ") {
+				t.Errorf("request %d: got %s for a sound request, want status 200", i, got)
+			}
+		}
+		b.announceEnds()
+		<-time.After(60 * time.Millisecond)
+	}
+	if got := b.crashCount(); got > maxCrashes {
+		t.Errorf("got %d servers ended, want at most %d:\n%s", got, maxCrashes, b.requestLog())
+	}
+	if !strings.HasPrefix(last, "503 Retry-After=") {
+		t.Errorf("got %s for the last request with the part, want status 503", last)
+	}
+}
+
 // TestServerEndAfterHead has servers end after the head of a stream that ends with its
 // connection. That is neither a complete answer nor one that has begun.
 func TestServerEndAfterHead(t *testing.T) {
