Keep a silent stream until another server has accepted it

Cause: the stall timer canceled the running attempt on the strength of "some server isn't known to be unfit", and asked a server only then. If that was full, failed or broke off, nothing was left to go back to.

TestSilentServerIsKeptUntilAnotherAccepts fails in 7 of 7 cases on the code before.

Change: the timer asks another server beside the running attempt, and gives that up once the other one has answered, or hasn't refused for 0.34 s and isn't known to be silent. If the first one goes on, the other is dropped.

--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -53,6 +53,24 @@
 	return now.Sub(s.lastSeen)
 }
 
+// Silent reports whether a server that other requests of this relay run at has sent
+// nothing to any of them for a time, so that one more may get no response.
+func (t *Table) Silent(now time.Time, id string, length time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	return s != nil && s.active > 1 && now.Sub(s.lastSeen) > length
+}
+
+// Progress records that the server has sent a part of the response.
+func (tk *Ticket) Progress(now time.Time) {
+	tk.table.mu.Lock()
+	defer tk.table.mu.Unlock()
+	if s := tk.table.servers[tk.Server.ID]; s != nil {
+		s.lastSeen = now
+	}
+}
+
 // ResponseBegun records that the response has begun, so the prefill is complete.
 // firstByte is the time from sending the request to the first byte of the response.
 func (tk *Ticket) ResponseBegun(now time.Time, firstByte time.Duration) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -21,6 +21,7 @@
 var (
 	errNoEvent    = errors.New("the resumed stream has no event")
 	errNotResumed = errors.New("the resumed stream does not go on after the last event")
+	errLeft       = errors.New("the stream was left for another server")
 )
 
 // responseForwarder forwards the response of one backend server to the caller.
@@ -57,31 +58,46 @@
 	return j.respond(f.resp.Status, f.resp.Header, body)
 }
 
-// forwardStream forwards the events of a stream as they arrive. If the stream stalls
-// and can be resumed on another server, the request to the server is canceled. Only
-// complete events count as progress: a stalled server may still send a byte now and then.
-// A stream that ends within an event is broken, whatever its framing says. So is one
-// without any event if it is resumed, since the caller couldn't tell it from the rest, or
-// if its end is that of the connection.
+// forwardStream forwards the events of a stream as they arrive. If the stream stalls and
+// another server accepts to go on with it, it goes on there.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
-	defer stall.stop()
+	broken, err := f.forwardUntilEnd(stall)
+	next := stall.stop()
+	switch {
+	case next != nil:
+		f.resp.Close()
+		f.endTicket(placement.NoResponse, 0)
+		return j.resume(j.follow(next.exchange))
+	case broken:
+		return f.handleBrokenStream(err)
+	}
+	return err
+}
+
+// forwardUntilEnd forwards the events of the response until it ends. It reports whether
+// the response is broken. Only complete events count as progress: a stalled server may
+// still send a byte now and then. A stream that ends within an event is broken, whatever
+// its framing says. So is one without any event if it is resumed, since the caller
+// couldn't tell it from the rest, or if its end is that of the connection.
+func (f *responseForwarder) forwardUntilEnd(stall *stallTimer) (broken bool, _ error) {
+	j := f.job
 	resumed := j.response.headerSent
 	splitter := &eventSplitter{}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := f.resp.Read(buf)
 		complete, tooLarge := splitter.feed(buf[:n])
-		if len(complete) > 0 {
-			stall.progress(time.Now())
+		if len(complete) > 0 && !stall.received(time.Now()) {
+			return true, errLeft
 		}
 		if err == io.EOF && len(bytes.TrimSpace(splitter.partial)) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
 		ids := j.relay.dialect.EventIDs(complete)
 		if resumed && f.events == 0 && len(ids) > 0 && !j.position.continuedBy(ids[0]) {
-			return f.handleBrokenStream(errNotResumed)
+			return true, errNotResumed
 		}
 		f.countEvents(len(ids))
 		switch {
@@ -92,7 +108,10 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if forwardErr := f.forwardEvents(complete, ids, err == io.EOF); forwardErr != nil {
-			return forwardErr
+			return false, forwardErr
+		}
+		if len(complete) > 0 {
+			stall.progress(time.Now(), j.position)
 		}
 		switch {
 		case err == io.EOF:
@@ -100,9 +119,9 @@
 				j.recordWhole()
 			}
 			f.endTicket(placement.Succeeded, j.timeToFirstByte)
-			return nil
+			return false, nil
 		case err != nil || tooLarge:
-			return f.handleBrokenStream(err)
+			return true, err
 		}
 	}
 }
@@ -113,6 +132,7 @@
 	f.events += n
 	if now := time.Now(); n > 0 && now.Sub(f.recorded) >= progressInterval {
 		f.recorded = now
+		f.ticket.Progress(now)
 		f.job.recordProgress(now, f.events)
 	}
 }
@@ -143,8 +163,7 @@
 
 // handleBrokenStream handles a stream that failed with err. If nothing of it was
 // forwarded, it returns an error, so that the request can be retried as usual.
-// Otherwise it resumes the stream on other servers, or aborts the response if it
-// can't.
+// Otherwise it resumes the stream on other servers.
 func (f *responseForwarder) handleBrokenStream(err error) error {
 	j := f.job
 	f.resp.Close()
@@ -160,22 +179,28 @@
 	if !errors.Is(err, errNoEvent) && !errors.Is(err, errNotResumed) {
 		j.recordServerEnd(f.ticket, streamErr, f.events)
 	}
+	return j.resume(streamErr)
+}
+
+// resume has other servers go on with a stream that failed with err, or aborts the
+// response if none can. If the caller has nothing of the stream, it returns err, so that
+// the request can be retried as usual.
+func (j *job) resume(err error) error {
 	if !j.response.headerSent {
-		return streamErr
+		return err
 	}
 	// The caller has a part of the stream, so only a server that sends the rest
 	// can complete the response.
-	for j.position.resumable() && j.mayRetry(streamErr) {
-		j.colocated = true
-		j.logRetry(streamErr)
-		attemptErr := j.attempt()
-		if attemptErr == nil || j.response.aborted {
-			return attemptErr
+	for err != nil && !j.response.aborted {
+		if !j.position.resumable() || !j.mayRetry(err) {
+			j.response.aborted = true
+			return err
 		}
-		streamErr = attemptErr
+		j.colocated = true
+		j.logRetry(err)
+		err = j.attempt()
 	}
-	j.response.aborted = true
-	return streamErr
+	return err
 }
 
 func (f *responseForwarder) endTicket(result placement.Result, firstByte time.Duration) {
--- a/relay/job.go
+++ b/relay/job.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"endivedeck.example/fault"
@@ -54,7 +53,6 @@
 	clientRetry   bool            // the caller retries a request that was refused
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
-	retryCounted  atomic.Bool     // the next retry has been counted against the budget
 	position      streamPosition  // after which the stream resumes
 	trial         bool            // the request tries a quarantined part of a prompt
 	quarantined   bool            // rejected for a part of its prompt
@@ -121,7 +119,7 @@
 	case j.errorResponse != nil && j.errorResponse.status < http.StatusInternalServerError:
 		return false // the request is invalid; another server would reject it too
 	}
-	return j.retryCounted.Swap(false) || j.countRetry()
+	return j.countRetry()
 }
 
 // countRetry counts a retry against the budget if that allows it.
@@ -202,7 +200,7 @@
 			return err
 		}
 	}
-	return j.execute(choice.Runner, opts)
+	return j.execute(choice, opts)
 }
 
 // placementRequest returns the request as package placement needs it.
@@ -247,7 +245,7 @@
 // chat is displaced, the tokens that it has generated need another prefill. A
 // prompt whose prefill ran on another server needs little more work and goes
 // before the remaining prompts.
-func (j *job) priority(opts SendOptions) int {
+func (j *job) priority(opts SendOptions, choice placement.Choice) int {
 	switch {
 	case len(j.info.Prompt) == 0:
 		return -1
@@ -255,11 +253,11 @@
 		return priorityChat
 	case opts.KVHandle != "":
 		return priorityPrefilled
-	case j.choice.Late:
+	case choice.Late:
 		return priorityLate
-	case j.choice.Slack < time.Duration(tightSlack*float64(j.route.LatencyObjective)):
+	case choice.Slack < time.Duration(tightSlack*float64(j.route.LatencyObjective)):
 		return priorityTight
-	case j.choice.Slack > time.Duration(looseSlack*float64(j.route.LatencyObjective)):
+	case choice.Slack > time.Duration(looseSlack*float64(j.route.LatencyObjective)):
 		return priorityLoose
 	}
 	return priorityDefault
@@ -273,7 +271,7 @@
 	j.prefillServerID = ticket.Server.ID
 	j.attemptCtx = j.ctx
 	sentAt := time.Now()
-	body, err := j.sendPrefill(ticket, *opts)
+	body, err := j.sendPrefill(choice, *opts)
 	elapsed := time.Since(sentAt)
 	if err != nil {
 		j.colocated = true
@@ -296,10 +294,11 @@
 	return nil
 }
 
-func (j *job) sendPrefill(ticket *placement.Ticket, opts SendOptions) ([]byte, error) {
+func (j *job) sendPrefill(choice placement.Choice, opts SendOptions) ([]byte, error) {
+	ticket := choice.Prefiller
 	opts.Server = ticket.Server
 	opts.PrefillOnly = true
-	resp, err := j.send(j.ctx, opts)
+	resp, err := j.send(j.ctx, opts, choice)
 	if err != nil {
 		return nil, err
 	}
@@ -314,58 +313,68 @@
 	return body, nil
 }
 
-// execute sends the request to the ticket's server and forwards the response to
+// execute sends the request to the server of choice.Runner and forwards the response to
 // the caller.
-func (j *job) execute(ticket *placement.Ticket, opts SendOptions) error {
-	j.serverID = ticket.Server.ID
-	j.tried[ticket.Server.ID] = true
-	opts.Server = ticket.Server
+func (j *job) execute(choice placement.Choice, opts SendOptions) error {
 	opts.TimeLeft = time.Until(j.deadline)
 	if opts.TimeLeft < minTimeLeft || j.ctx.Err() != nil {
-		ticket.End(time.Now(), placement.Outcome{Result: placement.Canceled})
+		j.serverID = choice.Runner.Server.ID
+		choice.Runner.End(time.Now(), placement.Outcome{Result: placement.Canceled})
 		j.releaseKV(opts)
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "request canceled or too little time left for a response: %v", opts.TimeLeft)
 	}
-	ctx, cancel := context.WithCancel(j.ctx)
-	defer cancel()
-	j.attemptCtx = ctx
-	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, cancel)
-	sentAt := time.Now()
-	resp, err := j.send(ctx, opts)
-	start.stop()
-	if err != nil {
-		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, err)})
-		if fault.FromError(err).Ran != fault.NotRun {
+	return j.follow(j.newExchange(choice, opts))
+}
+
+// follow waits for the response of an exchange, which it begins unless it runs already,
+// and forwards it to the caller. If the server is silent for too long and another one
+// accepts the request, it goes on with that one.
+func (j *job) follow(x *exchange) error {
+	defer x.cancel()
+	ticket := x.ticket
+	j.choice, j.serverID, j.attemptCtx = x.choice, ticket.Server.ID, x.ctx
+	j.tried[ticket.Server.ID] = true
+	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, x.cancel)
+	x.wait()
+	if next := start.stop(); next != nil {
+		x.drop(placement.NoResponse)
+		j.executions++
+		return j.follow(next.exchange)
+	}
+	if x.err != nil {
+		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, x.err)})
+		if fault.FromError(x.err).Ran != fault.NotRun {
 			j.executions++
-			j.recordServerEnd(ticket, err, 0)
+			j.recordServerEnd(ticket, x.err, 0)
 		} else {
-			j.releaseKV(opts)
+			j.releaseKV(x.opts)
 		}
-		return err
+		return x.err
 	}
-	defer resp.Close()
-	class := j.relay.dialect.Classify(resp.Status, resp.Header)
+	defer x.resp.Close()
+	class := x.class()
 	if class == NotRun {
 		// Close doesn't keep a connection whose response wasn't read: the server may
 		// write the refusal again in place of a later response.
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Refused})
-		j.colocated = j.colocated || opts.KVHandle != ""
-		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, resp.Status)
+		j.colocated = j.colocated || x.opts.KVHandle != ""
+		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, x.resp.Status)
 	}
 	j.executions++
 	if j.response.headerSent && class != Succeeded {
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Failed})
-		return fault.New(fault.Broken, fault.HasRun, "backend server %s did not resume the stream: status %d", ticket.Server.ID, resp.Status)
+		return fault.New(fault.Broken, fault.HasRun, "backend server %s did not resume the stream: status %d", ticket.Server.ID, x.resp.Status)
 	}
-	f := &responseForwarder{job: j, ticket: ticket, resp: resp, class: class, sentAt: sentAt, cancel: cancel}
+	f := &responseForwarder{job: j, ticket: ticket, resp: x.resp, class: class, sentAt: x.sentAt, cancel: x.cancel}
 	if j.route.Kind == routes.Stream && class == Succeeded {
 		return f.forwardStream()
 	}
 	return f.forwardBuffered()
 }
 
-func (j *job) send(ctx context.Context, opts SendOptions) (*upstream.Response, error) {
-	opts.Priority = j.priority(opts)
+// send sends the request to opts.Server. It may run beside the job while that waits.
+func (j *job) send(ctx context.Context, opts SendOptions, choice placement.Choice) (*upstream.Response, error) {
+	opts.Priority = j.priority(opts, choice)
 	limit := 0
 	if s := j.relay.routeView.Service(j.service); s != nil && s.MaxConns > 0 {
 		limit = max(s.MaxConns/int(j.relay.relayCount.Load()+1), 1) // one share is kept free for a relay that joins
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -77,6 +77,60 @@
 	}
 }
 
+// TestSilentServerIsKeptUntilAnotherAccepts has a server fall silent and go on, while the
+// only other one doesn't accept the request. The stream was given up for the other server
+// before that had been asked, and cut.
+func TestSilentServerIsKeptUntilAnotherAccepts(t *testing.T) {
+	const refusal = "Not-Executed: 1"
+	for _, c := range []struct{ name, silent, other string }{
+		{"midway, full", streamResponse(event(1), "<pause 1400ms>", event(2)), plainResponse(503, "", refusal)},
+		{"midway, failing", streamResponse(event(1), "<pause 1400ms>", event(2)), plainResponse(500, "")},
+		{"midway, breaking off", streamResponse(event(1), "<pause 1400ms>", event(2)), "drop"},
+		{"at the start, full", "<pause 1400ms>" + streamResponse(event(1), event(2)), plainResponse(503, "", refusal)},
+		{"at the start, failing", "<pause 1400ms>" + streamResponse(event(1), event(2)), plainResponse(500, "")},
+		{"at the start, breaking off", "<pause 1400ms>" + streamResponse(event(1), event(2)), "drop"},
+		{"three times, full", streamResponse(event(1), "<pause 1400ms>", event(2), "<pause 1400ms>", event(3), "<pause 1400ms>", event(4)), plainResponse(503, "", refusal)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			list := oneRoute(routes.Stream, 2, true)
+			list[0].Timeout *= 5
+			silent := &backendServer{name: "a", domain: "near", script: []string{c.silent}}
+			b := newTestbed(t, list, silent, &backendServer{name: "b", domain: "elsewhere", script: []string{c.other}})
+			var got string
+			b.waitFor("the silent server has a request", func() bool {
+				got = b.send(http.MethodPost, "/a/", "", "x")
+				return silent.requestCount() > 0
+			})
+			want := wholeAnswer
+			if c.name == "three times, full" {
+				want = `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n" complete`
+			}
+			if got != want {
+				t.Errorf("got %s, want %s; requests:\n%s", got, want, b.requestLog())
+			}
+		})
+	}
+}
+
+// TestServerThatAcceptsLateTakesOver has the other server send the head of its response
+// only after a while, as with a long prefill. A server that is gone must be left for it.
+func TestServerThatAcceptsLateTakesOver(t *testing.T) {
+	t.Parallel()
+	list := oneRoute(routes.Stream, 2, true)
+	list[0].Timeout *= 5
+	gone := &backendServer{name: "a", domain: "near", script: []string{streamResponse(event(1), "<drip>")}}
+	b := newTestbed(t, list, gone, &backendServer{name: "b", domain: "elsewhere", script: []string{"<pause 600ms>" + streamResponse(event(2))}})
+	var got string
+	b.waitFor("the server that is gone has a request", func() bool {
+		got = b.send(http.MethodPost, "/a/", "", "x")
+		return gone.requestCount() > 0
+	})
+	if got != wholeAnswer {
+		t.Errorf("got %s, want %s; requests:\n%s", got, wholeAnswer, b.requestLog())
+	}
+}
+
 // TestSilentServerAfterOneThatLeft has the first server of a stream break off and leave,
 // and the second be silent. The third must be asked.
 func TestSilentServerAfterOneThatLeft(t *testing.T) {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -5,14 +5,19 @@
 	"maps"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"endivedeck.example/fault"
+	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/placement"
 	"endivedeck.example/rank"
 	"endivedeck.example/routes"
 )
 
 const (
-	// streamStallTimeout is how long a resumable stream may send no event before it
-	// is resumed on another server. Callers wait at least 2 s before they give up.
+	// streamStallTimeout is how long a resumable stream may send no event before
+	// another server is asked to go on with it. Callers wait at least 2 s before they
+	// give up.
 	streamStallTimeout = 900 * time.Millisecond
 
 	// stallFactor extends streamStallTimeout for a stream that is slow all along: to
@@ -23,42 +28,74 @@
 	// streamStallTimeout plus this multiple of the expected time. Late prompts
 	// can exceed the estimate, since other prompts overtake them.
 	startDelayFactor = 3
+
+	// takeoverWait is how long a server that was asked to go on with a stream may be
+	// silent until it counts as having accepted: a full server refuses at once, and one
+	// that is gone doesn't accept a connection within dialTimeout. Two servers may work
+	// on a request for 400 ms at most.
+	takeoverWait = dialTimeout + 40*time.Millisecond
+
+	takeoverInterval = 300 * time.Millisecond // from a refusal until a server is asked again
+	sendsKept        = 1                      // not used for takeovers, but kept for a stream that breaks
 )
 
-// stallTimer cancels an attempt whose server sends no event for too long, if the
-// request can be sent to another server. The retry is counted against the budget
-// first. A server that no other one can take over from is waited for: it may only
-// be slow, and giving up would end the response for certain.
-type stallTimer struct {
-	job          *job
-	cancel       context.CancelFunc
-	request      placement.Request // of the retry
-	timer        *time.Timer       // nil if the attempt is never canceled
-	lastProgress time.Time
-	longestPause time.Duration
-
-	mu      rank.Mutex
-	wait    time.Duration // until the timer fires
-	stopped bool
-}
+type (
+	// stallTimer watches a stream whose server may fall silent. If no event comes for
+	// too long, it asks another server to go on with the stream. The running attempt is
+	// given up only when that server has accepted: until then the silent server may go
+	// on, and a server that is full or fails would leave the caller with nothing. Each
+	// server that is asked counts against the retry budget.
+	stallTimer struct {
+		job          *job
+		cancel       context.CancelFunc // of the running attempt
+		executions   int                // of the request, with the running attempt
+		timer        *time.Timer        // nil if the attempt is never given up
+		lastProgress time.Time
+		longestPause time.Duration
+
+		mu       rank.Mutex
+		wait     time.Duration     // until the timer fires after an event
+		request  placement.Request // of the next takeover
+		position streamPosition    // after which a server is asked to go on
+		asked    []*takeover
+		accepted *takeover // the stream is left for it
+		stopped  bool
+	}
+
+	// takeover asks a server to go on with a stream. Its exchange ends when the stream
+	// goes on at the server before, or once the server has answered.
+	takeover struct {
+		*exchange
+		stall *stallTimer
+		done  chan struct{} // closed when run has ended
+	}
+)
 
 // newStallTimer returns a running timer. executions is the number of executions of
-// the request if the attempt is canceled.
+// the request with the running attempt, which cancel ends.
 func newStallTimer(j *job, executions int, wait time.Duration, cancel context.CancelFunc) *stallTimer {
-	t := &stallTimer{job: j, cancel: cancel, lastProgress: time.Now(), wait: wait, mu: rank.New(rank.Request)}
-	if j.route.Kind != routes.Stream || !j.route.Retryable() || executions >= j.route.MaxAttempts || j.sends >= j.route.MaxAttempts+extraSends {
+	t := &stallTimer{job: j, cancel: cancel, executions: executions, lastProgress: time.Now(), wait: wait, position: j.position, mu: rank.New(rank.Request)}
+	if j.route.Kind != routes.Stream || !j.route.Retryable() || !t.mayAsk(t.lastProgress) {
 		return t
 	}
 	t.request = j.placementRequest(t.lastProgress)
 	t.request.Excluded = maps.Clone(j.tried)
+	t.request.SingleEngine, t.request.MustPlace = true, true
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(wait, t.fire)
 	return t
 }
 
-// fire cancels the attempt if a retry is possible and allowed. Otherwise it waits
-// again.
+// mayAsk reports whether the route allows that another server is asked.
+func (t *stallTimer) mayAsk(now time.Time) bool {
+	j := t.job
+	return t.executions < j.route.MaxAttempts && j.sends+len(t.asked) < j.route.MaxAttempts+extraSends-sendsKept &&
+		!j.trial && !j.repeatsServerEnd(now) && j.relay.quarantine.Check(now, j.parts).State != quarantine.Quarantined
+}
+
+// fire asks another server to go on with the stream, if one might and a retry is
+// allowed. Otherwise it waits again.
 func (t *stallTimer) fire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,37 +104,178 @@
 	}
 	j := t.job
 	now := time.Now()
-	if j.deadline.Sub(now) < minTimeLeft || !j.relay.placement.HasAlternative(now, t.request) || !j.countRetry() {
+	if !t.position.resumable() || !t.mayAsk(now) || j.deadline.Sub(now) < minTimeLeft || !j.relay.placement.HasAlternative(now, t.request) || !j.countRetry() {
+		t.timer.Reset(t.wait)
+		return
+	}
+	t.request.ObjectiveLeft, t.request.TimeLeft = j.objectiveLeft(now), j.deadline.Sub(now)
+	choice, err := j.relay.placement.Choose(now, t.request)
+	if err != nil {
 		t.timer.Reset(t.wait)
 		return
 	}
+	opts := SendOptions{TimeLeft: j.deadline.Sub(now), LastEventID: t.position.lastID, PrefixSource: choice.PrefixSource}
+	next := &takeover{exchange: j.newExchange(choice, opts), stall: t, done: make(chan struct{})}
+	t.asked = append(t.asked, next)
+	go next.run()
+}
+
+// run asks the server.
+func (x *takeover) run() {
+	defer close(x.done)
+	limit := time.AfterFunc(takeoverWait, x.assumeAccepted)
+	defer limit.Stop()
+	x.wait()
+	switch {
+	case x.err == nil && x.class() == Succeeded && x.stall.accept(x):
+		x.log("accepted")
+	case x.stall.accepts(x):
+		x.log("failed after it was taken to have accepted")
+	default:
+		x.stall.refused(x)
+	}
+}
+
+// assumeAccepted gives up the attempt before for a server that hasn't refused for
+// takeoverWait, unless that is silent to other requests too.
+func (x *takeover) assumeAccepted() {
+	if x.job.relay.placement.Silent(time.Now(), x.ticket.Server.ID, streamStallTimeout) {
+		return
+	}
+	x.stall.accept(x)
+}
+
+// log logs the outcome of asking the server.
+func (x *takeover) log(outcome string) {
+	fields := logrus.Fields{
+		"request": x.job.info.ID, "asked": x.ticket.Server.ID, "after": x.opts.LastEventID, "outcome": outcome,
+		"took": time.Since(x.sentAt).Milliseconds(),
+	}
+	if x.err != nil {
+		fields["error"] = fault.FromError(x.err).Message
+	} else {
+		fields["status"] = x.resp.Status
+	}
+	x.job.relay.log.WithFields(fields).Info("another server was asked to go on with a silent stream")
+}
+
+// accept gives up the running attempt for a server that has accepted, and reports
+// whether it has. The stream may have gone on meanwhile.
+func (t *stallTimer) accept(x *takeover) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || x.ctx.Err() != nil {
+		return t.accepted == x
+	}
 	t.stopped = true
-	j.retryCounted.Store(true)
+	t.accepted = x
+	t.job.relay.metrics.countRetry("silent")
 	t.cancel()
+	return true
+}
+
+// accepts reports whether the running attempt was given up for the server.
+func (t *stallTimer) accepts(x *takeover) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accepted == x
 }
 
-// progress records that the stream has sent an event.
-func (t *stallTimer) progress(now time.Time) {
+// refused ends a takeover that the server hasn't accepted, and waits again.
+func (t *stallTimer) refused(x *takeover) {
+	outcome, result := "not accepted", placement.Refused
+	switch {
+	case x.ctx.Err() != nil:
+		outcome, result = "not needed any more", placement.Canceled
+	case x.err != nil:
+		result = t.job.failureResult(x.ticket, x.err)
+	case x.class() == Failed:
+		result = placement.Failed
+	}
+	x.log(outcome)
+	x.drop(result)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x.mayHaveRun() {
+		t.executions++
+		t.request.Excluded[x.ticket.Server.ID] = true
+	}
+	if !t.stopped && result != placement.Canceled {
+		t.timer.Reset(takeoverInterval)
+	}
+}
+
+// received records that events have arrived and stops the timer until they are
+// forwarded, which may take long if the caller reads slowly. It reports false if the
+// stream was left for another server, which goes on before these events.
+func (t *stallTimer) received(now time.Time) bool {
 	t.longestPause = max(t.longestPause, now.Sub(t.lastProgress))
+	if t.timer == nil {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.accepted != nil {
+		return false
+	}
+	t.timer.Stop()
+	t.cancelAsked()
+	return true
+}
+
+// progress records that events were forwarded up to a position, and starts the timer.
+func (t *stallTimer) progress(now time.Time, position streamPosition) {
 	t.lastProgress = now
 	if t.timer == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.position = position
 	if !t.stopped {
 		t.wait = max(streamStallTimeout, stallFactor*t.longestPause)
 		t.timer.Reset(t.wait)
 	}
 }
 
-// stop ends the timer. No retry is counted after it has returned.
-func (t *stallTimer) stop() {
+// cancelAsked ends the takeover that runs, if there is one.
+func (t *stallTimer) cancelAsked() {
+	if n := len(t.asked); n > 0 {
+		t.asked[n-1].cancel()
+	}
+}
+
+// stop ends the timer and returns the takeover that the attempt was given up for, or nil
+// if there is none. The job records the servers that were asked in vain.
+func (t *stallTimer) stop() *takeover {
 	if t.timer == nil {
-		return
+		return nil
+	}
+	accepted := t.end()
+	j := t.job
+	for _, x := range t.asked {
+		j.sends++
+		if x == accepted {
+			continue
+		}
+		<-x.done
+		if x.mayHaveRun() {
+			j.executions++
+			j.tried[x.ticket.Server.ID] = true
+		}
 	}
+	t.asked = nil
+	return accepted
+}
+
+// end keeps the timer from asking further servers.
+func (t *stallTimer) end() *takeover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
+	if t.accepted == nil {
+		t.cancelAsked()
+	}
+	return t.accepted
 }
