Guard against streams given up for a slow caller

Callers saw: a caller that read nothing for a second had its stream sent to a second server, and cut where that one didn't go on.

Cause: the stall timer ran while the relay wrote to the caller, so the caller's silence counted as the server's.

--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -1,6 +1,10 @@
 package relay_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -131,6 +135,41 @@
 	}
 }
 
+// TestSlowCallerIsNoSilence has a caller that doesn't read for a while, so that the relay
+// can't write what the server has sent. No other server may be asked.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	t.Parallel()
+	const events = 200
+	text := strings.Repeat("x", 100<<10)
+	var list []string
+	for i := range events {
+		list = append(list, fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, text))
+	}
+	response := streamResponse(list...)
+	servers := []*backendServer{{name: "a", script: []string{response}}, {name: "b", script: []string{response}}}
+	routeList := oneRoute(routes.Stream, 2, true)
+	routeList[0].Timeout *= 5
+	b := newTestbed(t, routeList, servers...)
+	c, err := net.Dial("tcp", b.relay.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /a/ HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: r1\r\nContent-Length: 1\r\n\r\nx")
+	<-time.After(3 * time.Second)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if want := len(strings.Join(list, "")); err != nil || len(body) != want {
+		t.Errorf("got %d bytes and %v, want %d bytes", len(body), err, want)
+	}
+	if got := servers[0].requestCount() + servers[1].requestCount(); got != 1 {
+		t.Errorf("got %d requests at the servers, want 1", got)
+	}
+}
+
 // TestSilentServerAfterOneThatLeft has the first server of a stream break off and leave,
 // and the second be silent. The third must be asked.
 func TestSilentServerAfterOneThatLeft(t *testing.T) {
