Count no retry that finds no server

Callers saw: after a stream broke off with every server tried, requests of the same service that broke soon after weren't sent again.

Cause: an attempt that found no server counted as one that may be retried, so mayRetry and attempt went round without sending anything until the retry budget was empty.

Change: a retry follows only an attempt that has found a server.

Result: the test passes.

--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -57,24 +57,30 @@
 
 func (headerDialect) RequestHeader(*RequestInfo, SendOptions) http.Header { return http.Header{} }
 
-// TestNoRetryCountedAfterAttempt has the stall timer fire while the attempt ends: it must
-// neither run on, ask another server nor count a retry that nobody makes.
-func TestNoRetryCountedAfterAttempt(t *testing.T) {
-	limit := budget.Limit{Slack: 100, Window: time.Hour}
+// newRetryingJob returns a job that server "a" runs, while nobody listens at "b".
+func newRetryingJob(t *testing.T, limit budget.Limit) *job {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
 	r := &Relay{
+		host: &kernel.Host{}, log: logrus.NewEntry(logger), metrics: &relayMetrics{set: metrics.NewSet()},
 		placement: placement.New(), retryBudget: budget.New(limit), quarantine: quarantine.New(),
 		upstream: upstream.New(upstream.Options{DialTimeout: time.Second}), dialect: headerDialect{}, routeView: routes.NewView(),
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	r.log = logrus.NewEntry(logger)
 	r.relayCount.Store(1)
 	r.placement.SetServers([]roster.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Address: "127.0.0.1:1"}})
-	j := &job{
+	return &job{
 		relay: r, service: "s", route: &routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3}, tried: map[string]bool{"a": true},
-		request: httptest.NewRequest("POST", "/a/", nil), deadline: time.Now().Add(time.Hour), start: time.Now(), ctx: t.Context(),
+		request: httptest.NewRequest("POST", "/a/", nil), response: newCallerResponse(httptest.NewRecorder()),
+		deadline: time.Now().Add(time.Hour), start: time.Now(), ctx: t.Context(), sends: 1, placed: true,
 	}
-	r.host = &kernel.Host{}
+}
+
+// TestNoRetryCountedAfterAttempt has the stall timer fire while the attempt ends: it must
+// neither run on, ask another server nor count a retry that nobody makes.
+func TestNoRetryCountedAfterAttempt(t *testing.T) {
+	limit := budget.Limit{Slack: 100, Window: time.Hour}
+	j := newRetryingJob(t, limit)
 	timer := newStallTimer(j, 1, time.Minute, func() {})
 	timer.stop()
 	timer.fire()
@@ -90,7 +96,22 @@
 		t.Error("no server was asked for an attempt that is running")
 	}
 	timer.stop()
-	if got, want := retriesLeft(r.retryBudget), retriesLeft(budget.New(limit))-1; got != want {
+	if got, want := retriesLeft(j.relay.retryBudget), retriesLeft(budget.New(limit))-1; got != want {
+		t.Errorf("got %d retries left, want %d", got, want)
+	}
+}
+
+// TestNoRetryCountedWithoutServer has a stream break when every other server has been
+// tried. Retries that sent nothing were counted until the budget was empty.
+func TestNoRetryCountedWithoutServer(t *testing.T) {
+	limit := budget.Limit{Slack: 100, Window: time.Hour}
+	j := newRetryingJob(t, limit)
+	j.response.headerSent = true
+	if err := j.resume(fault.New(fault.Broken, fault.MaybeRun, "connection broken")); err == nil || !j.response.aborted {
+		t.Errorf("got error %v, aborted %v, want an error and true", err, j.response.aborted)
+	}
+	// One for the attempt at the server where nobody listens, one that finds no server.
+	if got, want := retriesLeft(j.relay.retryBudget), retriesLeft(budget.New(limit))-2; got != want {
 		t.Errorf("got %d retries left, want %d", got, want)
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -51,6 +51,7 @@
 	tried         map[string]bool // IDs of the servers that the request was sent to
 	colocated     bool            // prefill and decode must run on the same server
 	clientRetry   bool            // the caller retries a request that was refused
+	placed        bool            // the latest attempt has found a server
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
 	position      streamPosition  // after which the stream resumes
@@ -108,7 +109,7 @@
 	switch {
 	case j.response.aborted, j.ctx.Err() != nil, time.Until(j.deadline) < minTimeLeft:
 		return false
-	case j.sends == 0: // no server was available
+	case !j.placed: // no server was available
 		return false
 	case j.sends >= j.route.MaxAttempts+extraSends:
 		return false
@@ -164,6 +165,7 @@
 // attempt chooses a server and sends the request once. It returns nil if the
 // response was forwarded to the caller.
 func (j *job) attempt() error {
+	j.placed = false
 	if !j.response.headerSent { // otherwise, not going on would cut the stream for certain
 		if err := j.checkStop(); err != nil {
 			return err
@@ -178,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	j.choice = choice
+	j.choice, j.placed = choice, true
 	if j.sends == 0 {
 		j.relay.retryBudget.CountRequest(now, j.service)
 	}
