Don't keep an engine's answer without end

Callers saw (other operators' report): a faulty server sent bytes that were no answer, without end; the process that read them ran out of memory, and the requests of others on its machine ended with it.

Cause: a sidecar keeps an answer for its readers and bounded only its tokens. Chunks without tokens were kept too, without end and with texts of up to 1 MB, and a token's text had no bound.

Evidence: TestEndlessAnswerIsNotKept on the code before: 73,662,464 bytes kept of 65,536 chunks of 1 kB, and an answer of 100 tokens with 1 MB each was accepted.

Change: chunks without tokens, which readers ignore, are dropped. A text of more than 256 bytes a token on average ends the answer, and so does a negative number of tokens.

Result: the test passes.

--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -17,6 +17,7 @@
 	expireInterval    = time.Second
 	cancelTimeout     = time.Second
 	keepaliveInterval = 300 * time.Millisecond // also while tokens arrive
+	maxTokenBytes     = 256                    // of text a token on average; the longest tokens of vocabularies have about 128
 )
 
 type (
@@ -38,6 +39,7 @@
 		cancel       context.CancelFunc
 		chunks       []message.Chunk
 		nextOffset   int // offset of the next token expected
+		textBytes    int // of chunks
 		ended        bool
 		err          error
 		latestReader int           // number of the newest reader, which replaces earlier ones
@@ -233,8 +235,9 @@
 }
 
 // appendChunk adds a chunk received from the engine. It drops and counts chunks
-// of other answers and duplicates. A gap before the chunk is an error, which
-// ends the stream, and so are more tokens than requested.
+// of other answers and duplicates, and drops chunks without tokens, which readers
+// ignore. A gap before the chunk is an error, which ends the stream, and so are more
+// tokens or more text than requested.
 func (s *stream) appendChunk(chunk message.Chunk) error {
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
@@ -250,6 +253,12 @@
 	if chunk.Offset > s.nextOffset {
 		return fault.New(fault.Broken, fault.MaybeRun, "gap in the engine's stream: want offset %d, got %d", s.nextOffset, chunk.Offset)
 	}
+	if chunk.Tokens == 0 && !chunk.Final {
+		return nil
+	}
+	if textBytes := s.textBytes + len(chunk.Text); chunk.Tokens < 0 || textBytes > s.request.MaxTokens*maxTokenBytes {
+		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens and %d bytes of text, limit %d for %d tokens", chunk.Tokens, textBytes, s.request.MaxTokens*maxTokenBytes, s.request.MaxTokens)
+	}
 	if tokens := s.nextOffset + chunk.Tokens; tokens > s.request.MaxTokens {
 		return fault.New(fault.Broken, fault.MaybeRun, "the engine sent %d tokens, limit %d", tokens, s.request.MaxTokens)
 	}
@@ -258,6 +267,7 @@
 		s.firstTokenAt = s.lastTokenAt
 	}
 	s.chunks = append(s.chunks, chunk)
+	s.textBytes += len(chunk.Text)
 	s.nextOffset += chunk.Tokens
 	s.ended = s.ended || chunk.Final
 	s.notifyReaders()
