Bound the heads and lists that a sidecar reads

Cause: the clients of engines and services had net/http's limit of 10 MB for a head, on each of many connections at a time, and lists of an engine could have 64 MB, of which "{}," makes 24 bytes for every 3.

Change: a head may have 64 kB, as at the relays, a load report 1 MB and a list of cache events 16 MB and 131,072 events; a longer list is cut there, and the next call gets the rest.

--- a/engine/lines.go
+++ b/engine/lines.go
@@ -22,7 +22,11 @@
 	callTimeout    = time.Second     // of calls other than Generate, Export and Import
 	silenceTimeout = 2 * time.Second // without a line; then the stream is resumed over a new connection
 	maxLineBytes   = 1 << 20
-	maxBodyBytes   = 64 << 20
+	maxBodyBytes   = 64 << 20      // of an exported KV cache
+	maxHeadBytes   = 64 << 10      // of a response
+	maxReportBytes = 1 << 20       // of a load report
+	maxEventsBytes = 16 << 20      // of a list of cache events
+	maxEvents      = 1 << 17       // in a list; the next call gets those that follow
 	maxLoadNumber  = math.MaxInt32 // of requests, blocks, tokens or milliseconds in a load report
 )
 
@@ -101,7 +105,7 @@
 // would be taken for the response to the next request.
 func NewLinesClient(address string) Engine {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &LinesClient{base: "http://" + address, httpClient: &http.Client{Transport: transport}}
 }
 
@@ -135,7 +139,8 @@
 // State implements Engine.
 func (c *LinesClient) State(ctx context.Context) (State, error) {
 	var report loadReport
-	if err := c.get(ctx, "/v1/load", &report); err != nil {
+	decode := func(d *json.Decoder) error { return d.Decode(&report) }
+	if err := c.get(ctx, "/v1/load", maxReportBytes, decode); err != nil {
 		return State{}, err
 	}
 	if err := report.check(); err != nil {
@@ -181,15 +186,41 @@
 
 // Events implements CacheEventSource.
 func (c *LinesClient) Events(ctx context.Context, after uint64) ([]CacheEvent, error) {
-	var events []cacheEvent
-	if err := c.get(ctx, "/v1/events?after="+strconv.FormatUint(after, 10), &events); err != nil {
+	var events []CacheEvent
+	decode := func(d *json.Decoder) (err error) {
+		events, err = decodeEvents(d)
+		return err
+	}
+	if err := c.get(ctx, "/v1/events?after="+strconv.FormatUint(after, 10), maxEventsBytes, decode); err != nil {
+		return nil, err
+	}
+	return events, nil
+}
+
+// decodeEvents decodes a list of cache events, the first maxEvents at most.
+func decodeEvents(d *json.Decoder) ([]CacheEvent, error) {
+	begin, err := d.Token()
+	switch {
+	case err != nil:
 		return nil, err
+	case begin == nil: // an engine without events may send null
+		return nil, nil
+	case begin != json.Delim('['):
+		return nil, errors.New("not a list of events")
+	}
+	var events []CacheEvent
+	for d.More() && len(events) < maxEvents {
+		var event cacheEvent
+		if err := d.Decode(&event); err != nil {
+			return nil, err
+		}
+		events = append(events, CacheEvent(event))
 	}
-	converted := make([]CacheEvent, len(events))
-	for i, event := range events {
-		converted[i] = CacheEvent(event)
+	if len(events) == maxEvents {
+		return events, nil
 	}
-	return converted, nil
+	_, err = d.Token() // fails if the list breaks off
+	return events, err
 }
 
 // Export implements CacheTransfer.
@@ -219,7 +250,8 @@
 	return body.Close()
 }
 
-func (c *LinesClient) get(ctx context.Context, path string, value any) error {
+// get decodes the response to a GET request, of at most maxBytes.
+func (c *LinesClient) get(ctx context.Context, path string, maxBytes int64, decode func(*json.Decoder) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
@@ -231,7 +263,7 @@
 		return err
 	}
 	defer body.Close()
-	if err := json.NewDecoder(io.LimitReader(body, maxBodyBytes)).Decode(value); err != nil {
+	if err := decode(json.NewDecoder(io.LimitReader(body, maxBytes))); err != nil {
 		return fault.New(fault.Broken, fault.MaybeRun, "decoding the engine's response: %v (GET %s)", err, path)
 	}
 	return nil
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -18,6 +18,7 @@
 const (
 	serviceDialTimeout = time.Second
 	maxResponseBytes   = 8 << 20
+	maxHeadBytes       = 64 << 10 // of a response
 )
 
 // ServiceDialects is the registry of service dialects.
@@ -61,7 +62,7 @@
 func newServiceClient() *http.Client {
 	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 		CheckRedirect: dontFollowRedirect,
 	}
 }
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"endivedeck.example/fault"
@@ -109,3 +111,56 @@
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok", s.status)
 }
+
+// endlessService is a service that writes a header line without end.
+type endlessService struct {
+	listener net.Listener
+	written  atomic.Int64 // bytes
+}
+
+// run accepts connections until the listener is closed.
+func (s *endlessService) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loop(c)
+	}
+}
+
+// loop writes until the client closes the connection.
+func (s *endlessService) loop(c net.Conn) {
+	defer c.Close()
+	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+	for text := "HTTP/1.1 200 OK\r\nA: "; ; text = strings.Repeat("x", 16<<10) {
+		n, err := io.WriteString(c, text)
+		s.written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestEndlessHead has a service send a header line without end. The sidecar accepted
+// 10 MB on each connection.
+func TestEndlessHead(t *testing.T) {
+	const maxAccepted = 8 << 20 // bytes, with those in the buffers of both sockets
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	s := &endlessService{listener: listener}
+	go s.run()
+	service := newHTTPService(ServiceSettings{Address: listener.Addr().String(), HealthPath: "/health"})
+	if _, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7}); fault.KindOf(err) != fault.Broken {
+		t.Errorf("got error %v, want kind %s", err, fault.Broken)
+	}
+	if err := service.Healthy(t.Context()); err == nil {
+		t.Error("got a healthy service, want an error")
+	}
+	if got := s.written.Load() / 2; got > maxAccepted {
+		t.Errorf("got %d bytes accepted on a connection, want at most %d", got, maxAccepted)
+	}
+}
