Refuse calls at an entry that might outlast its stop

Callers saw (other operators' report): requests that came late in a planned stop were taken, passed on and cut at the end without an answer, among them some that may not be repeated.

Cause: the relays check whether a request may outlive them; the entries took everything until the listener closed, whatever time the contract allows.

Evidence: TestRequestBegunLateInStop: with 5 s, 2.5 s and no time left, orders and queries that may take 5 s were begun.

Change: admission refuses a call as not run if its contract allows more time than is left of the stop, less half a second.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -155,9 +155,13 @@
 // Stop implements kernel.Role. The health check fails, so that the load
 // balancer stops sending requests; after Settings.DrainTime the listener closes,
 // and Stop waits for the running requests to finish. Until then everything that
-// arrives is answered.
+// arrives is answered; what might not finish in time is refused.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.executor.startDraining()
+	stopBy, limited := ctx.Deadline()
+	if !limited {
+		stopBy = time.Now().Add(e.host.Process.StopTimeout.Std())
+	}
+	e.executor.startDraining(stopBy)
 	e.server.Drain(ctx, e.settings.DrainTime.Std())
 	err := e.server.Stop(ctx)
 	report := e.server.Report()
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -18,6 +18,7 @@
 const (
 	newContractTimeout   = 2 * time.Second
 	contractPollInterval = 5 * time.Millisecond
+	stopMargin           = 500 * time.Millisecond // from the last response to the end of the process
 )
 
 type (
@@ -26,6 +27,7 @@
 	Executor struct {
 		entry    *Entry
 		draining atomic.Bool
+		stopBy   atomic.Pointer[time.Time] // when running requests are cut; nil before the stop
 
 		dispatcher *dispatch.Dispatcher
 		resolver   *resolver
@@ -68,7 +70,21 @@
 	return &Executor{entry: e, dispatcher: dispatch.New(e.fleet, e.admission, policy), resolver: newResolver(e)}
 }
 
-func (x *Executor) startDraining() { x.draining.Store(true) }
+// startDraining begins a stop in which requests that still run at a time are cut.
+func (x *Executor) startDraining(stopBy time.Time) {
+	x.stopBy.Store(&stopBy)
+	x.draining.Store(true)
+}
+
+// checkStop returns an error if a request that may take for a time must not be begun,
+// because it might still run when the entry exits.
+func (x *Executor) checkStop(whole time.Duration) error {
+	stopBy := x.stopBy.Load()
+	if stopBy == nil || time.Until(*stopBy) >= whole+stopMargin {
+		return nil
+	}
+	return fault.New(fault.Unavailable, fault.NotRun, "the entry is stopping; the request might not finish within the %v that it may take", whole)
+}
 
 func (x *Executor) isDraining() bool { return x.draining.Load() }
 
@@ -126,6 +142,9 @@
 	if selector.Service != "" && !accepted.Contract.AllowsService(selector.Service) {
 		return accepted, admission.Reservation{}, fault.New(fault.NotFound, fault.NotRun, "the contract does not include service %q", selector.Service)
 	}
+	if err := x.checkStop(accepted.Contract.Classes[class].WholeAnswer.Std()); err != nil {
+		return accepted, admission.Reservation{}, err
+	}
 	reservation, err := x.dispatcher.Admit(time.Now(), accepted, class, promptTokens, selector)
 	return accepted, reservation, err
 }
