Test responses of services that are cut at any byte

Callers of other operators got a 200 with an empty or short body, framed as whole, of a server that had stopped in the middle of its answer's head. Not so here: TestResponseCutAtAnyByte passes on the code as it is, with a length and with chunks.

--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -164,3 +164,55 @@
 		t.Errorf("got %d bytes accepted on a connection, want at most %d", got, maxAccepted)
 	}
 }
+
+// cutService is a service that sends the first bytes of a response and closes the
+// connection.
+type cutService struct {
+	listener net.Listener
+	response string
+	length   atomic.Int64
+}
+
+// run accepts connections until the listener is closed.
+func (s *cutService) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.respond(c)
+	}
+}
+
+func (s *cutService) respond(c net.Conn) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, s.response[:s.length.Load()])
+}
+
+// TestResponseCutAtAnyByte has a service close the connection within its response. No
+// part of it may pass for a whole response, also if it ends within the head.
+func TestResponseCutAtAnyByte(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		s := &cutService{listener: listener, response: response}
+		go s.run()
+		service := newHTTPService(ServiceSettings{Address: listener.Addr().String()})
+		for length := range len(response) {
+			s.length.Store(int64(length))
+			got, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7})
+			if err == nil {
+				t.Errorf("cut after %d bytes of %q: got the response %+v, want an error", length, response, got)
+			}
+		}
+	}
+}
