--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -62,6 +62,15 @@
 	return s != nil && s.active > 1 && now.Sub(s.lastSeen) > length
 }
 
+// Full reports whether as many requests run at a server as it has slots, by the load that
+// all relays put on it.
+func (t *Table) Full(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	return s != nil && s.Slots > 0 && t.loadOf(now, s).active > s.Slots
+}
+
 // Progress records that the server has sent a part of the response.
 func (tk *Ticket) Progress(now time.Time) {
 	tk.table.mu.Lock()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -67,16 +67,19 @@
 	j := f.job
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
-	next := stall.stop()
+	next := stall.stop(false)
 	switch {
-	case next != nil:
-		f.resp.Close()
-		f.endTicket(placement.NoResponse, 0)
-		return j.resume(j.follow(next.exchange))
-	case broken:
-		return f.handleBrokenStream(err)
+	case !broken && next != nil: // was given up in the moment of its end
+		next.drop(placement.Canceled)
+		return err
+	case !broken:
+		return err
 	}
-	return err
+	err = f.endBroken(err)
+	if next != nil {
+		err = j.follow(next.exchange)
+	}
+	return j.resume(err)
 }
 
 // forwardUntilEnd forwards the events of the response until it ends. It reports whether
@@ -165,10 +168,9 @@
 	return nil
 }
 
-// handleBrokenStream handles a stream that failed with err. If nothing of it was
-// forwarded, it returns an error, so that the request can be retried as usual.
-// Otherwise it resumes the stream on other servers.
-func (f *responseForwarder) handleBrokenStream(err error) error {
+// endBroken ends a stream that failed with err or was given up, and returns the error of
+// the request if no other server goes on with it.
+func (f *responseForwarder) endBroken(err error) error {
 	j := f.job
 	f.resp.Close()
 	if j.ctx.Err() != nil {
@@ -183,7 +185,7 @@
 	if !errors.Is(err, errNoEvent) && !errors.Is(err, errNotResumed) {
 		j.recordServerEnd(f.ticket, streamErr, f.events)
 	}
-	return j.resume(streamErr)
+	return streamErr
 }
 
 // resume has other servers go on with a stream that failed with err, or aborts the
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -82,7 +82,7 @@
 	limit := budget.Limit{Slack: 100, Window: time.Hour}
 	j := newRetryingJob(t, limit)
 	timer := newStallTimer(j, 1, time.Minute, func() {})
-	timer.stop()
+	timer.stop(false)
 	timer.fire()
 	if timer.timer.Stop() {
 		t.Error("the timer of an attempt that has ended is running")
@@ -95,7 +95,7 @@
 	if len(timer.asked) != 1 {
 		t.Error("no server was asked for an attempt that is running")
 	}
-	timer.stop()
+	timer.stop(false)
 	if got, want := retriesLeft(j.relay.retryBudget), retriesLeft(budget.New(limit))-1; got != want {
 		t.Errorf("got %d retries left, want %d", got, want)
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -341,7 +341,8 @@
 	j.tried[ticket.Server.ID] = true
 	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, x.cancel)
 	x.wait()
-	if next := start.stop(); next != nil {
+	next := start.stop(false)
+	if next != nil && x.ctx.Err() != nil { // given up for the other server
 		x.drop(placement.NoResponse)
 		j.executions++
 		return j.follow(next.exchange)
@@ -354,6 +355,9 @@
 		} else {
 			j.releaseKV(x.opts)
 		}
+		if next != nil {
+			return j.follow(next.exchange)
+		}
 		return x.err
 	}
 	defer x.resp.Close()
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -35,6 +35,10 @@
 	// on a request for 400 ms at most.
 	takeoverWait = dialTimeout + 40*time.Millisecond
 
+	// maxTimerLag is how late a timer may fire. On a machine that is so busy that it fires
+	// later, a refusal may not have been read yet.
+	maxTimerLag = 40 * time.Millisecond
+
 	takeoverInterval = 300 * time.Millisecond // from a refusal until a server is asked again
 	sendsKept        = 1                      // not used for takeovers, but kept for a stream that breaks
 )
@@ -68,6 +72,11 @@
 		*exchange
 		stall *stallTimer
 		done  chan struct{} // closed when run has ended
+
+		// Guarded by stall.mu.
+		limit    *time.Timer // calls assumeAccepted
+		due      time.Time   // when limit fires
+		answered bool
 	}
 )
 
@@ -116,6 +125,8 @@
 	}
 	opts := SendOptions{TimeLeft: j.deadline.Sub(now), LastEventID: t.position.lastID, PrefixSource: choice.PrefixSource}
 	next := &takeover{exchange: j.newExchange(choice, opts), stall: t, done: make(chan struct{})}
+	next.due = now.Add(takeoverWait)
+	next.limit = time.AfterFunc(takeoverWait, next.assumeAccepted)
 	t.asked = append(t.asked, next)
 	go next.run()
 }
@@ -123,9 +134,8 @@
 // run asks the server.
 func (x *takeover) run() {
 	defer close(x.done)
-	limit := time.AfterFunc(takeoverWait, x.assumeAccepted)
-	defer limit.Stop()
 	x.wait()
+	x.stall.answered(x)
 	switch {
 	case x.err == nil && x.class() == Succeeded && x.stall.accept(x):
 		x.log("accepted")
@@ -137,12 +147,34 @@
 }
 
 // assumeAccepted gives up the attempt before for a server that hasn't refused for
-// takeoverWait, unless that is silent to other requests too.
+// takeoverWait. One that is silent to other requests too, or whose slots are all in use as
+// far as known, has to answer.
 func (x *takeover) assumeAccepted() {
-	if x.job.relay.placement.Silent(time.Now(), x.ticket.Server.ID, streamStallTimeout) {
+	now := time.Now()
+	table, id := x.job.relay.placement, x.ticket.Server.ID
+	if x.late(now) || table.Silent(now, id, streamStallTimeout) || table.Full(now, id) {
+		x.assumeLater(now)
+		return
+	}
+	x.stall.assume(x)
+}
+
+// late reports whether limit has fired too late.
+func (x *takeover) late(now time.Time) bool {
+	x.stall.mu.Lock()
+	defer x.stall.mu.Unlock()
+	return now.Sub(x.due) > maxTimerLag
+}
+
+// assumeLater has assumeAccepted called again, unless the takeover has ended.
+func (x *takeover) assumeLater(now time.Time) {
+	x.stall.mu.Lock()
+	defer x.stall.mu.Unlock()
+	if x.answered || x.stall.stopped || x.ctx.Err() != nil {
 		return
 	}
-	x.stall.accept(x)
+	x.due = now.Add(takeoverWait)
+	x.limit.Reset(takeoverWait)
 }
 
 // log logs the outcome of asking the server.
@@ -167,11 +199,33 @@
 	if t.stopped || x.ctx.Err() != nil {
 		return t.accepted == x
 	}
+	t.giveUpFor(x)
+	return true
+}
+
+// assume is accept for a server that hasn't answered yet.
+func (t *stallTimer) assume(x *takeover) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !x.answered && !t.stopped && x.ctx.Err() == nil {
+		t.giveUpFor(x)
+	}
+}
+
+// giveUpFor ends the running attempt. The caller must hold mu.
+func (t *stallTimer) giveUpFor(x *takeover) {
 	t.stopped = true
 	t.accepted = x
 	t.job.relay.metrics.countRetry("silent")
 	t.cancel()
-	return true
+}
+
+// answered records that a server has answered, or can't.
+func (t *stallTimer) answered(x *takeover) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.answered = true
+	x.limit.Stop()
 }
 
 // accepts reports whether the running attempt was given up for the server.
@@ -246,12 +300,13 @@
 }
 
 // stop ends the timer and returns the takeover that the attempt was given up for, or nil
-// if there is none. The job records the servers that were asked in vain.
-func (t *stallTimer) stop() *takeover {
+// if there is none. If the attempt has failed, it goes on with a server that has been
+// asked and hasn't refused. The job records the servers that were asked in vain.
+func (t *stallTimer) stop(failed bool) *takeover {
 	if t.timer == nil {
 		return nil
 	}
-	accepted := t.end()
+	accepted := t.end(failed)
 	j := t.job
 	for _, x := range t.asked {
 		j.sends++
@@ -269,11 +324,14 @@
 }
 
 // end keeps the timer from asking further servers.
-func (t *stallTimer) end() *takeover {
+func (t *stallTimer) end(failed bool) *takeover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
+	if n := len(t.asked); t.accepted == nil && failed && n > 0 && !t.asked[n-1].answered && t.asked[n-1].ctx.Err() == nil {
+		t.accepted = t.asked[n-1]
+	}
 	if t.accepted == nil {
 		t.cancelAsked()
 	}
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -191,6 +191,21 @@
 	}
 }
 
+// installRoutes sends a version of the routes to all subscriptions.
+func (b *testbed) installRoutes(version uint64, list []routes.Route) {
+	b.t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	table := *b.update.Routes
+	table.Version, table.Routes = version, list
+	b.update.Routes = &table
+	for _, call := range b.calls {
+		if err := call.Send(message.RelayUpdate{Routes: &table}); err != nil {
+			b.t.Error(err)
+		}
+	}
+}
+
 // waitFor waits until a condition holds. The limit of 20 s allows for a slow
 // machine.
 func (b *testbed) waitFor(what string, holds func() bool) {
