Go on with the server that was asked when the silent one breaks off

Callers saw: a stream whose server fell silent and then broke off was cut, though another server had been asked to go on with it and was about to.

Cause: the end of the attempt canceled what the stall timer had asked, and that server counted as tried.

TestBrokenStreamGoesOnWhereAsked fails in both cases on the code before.

Change: an attempt that fails goes on with the server that has been asked and hasn't answered yet.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -67,7 +67,7 @@
 	j := f.job
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
-	next := stall.stop(false)
+	next := stall.stop(broken)
 	switch {
 	case !broken && next != nil: // was given up in the moment of its end
 		next.drop(placement.Canceled)
--- a/relay/job.go
+++ b/relay/job.go
@@ -341,7 +341,7 @@
 	j.tried[ticket.Server.ID] = true
 	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, x.cancel)
 	x.wait()
-	next := start.stop(false)
+	next := start.stop(x.err != nil)
 	if next != nil && x.ctx.Err() != nil { // given up for the other server
 		x.drop(placement.NoResponse)
 		j.executions++
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -135,6 +135,33 @@
 	}
 }
 
+// TestBrokenStreamGoesOnWhereAsked has a silent server break off while another one that was
+// asked to go on with the stream hasn't answered yet. That one's response must be used.
+func TestBrokenStreamGoesOnWhereAsked(t *testing.T) {
+	for _, silent := range []string{
+		streamResponse(event(1), "<pause 1100ms>", "<cut>"),
+		"<pause 1100ms><cut>",
+	} {
+		list := oneRoute(routes.Stream, 2, true)
+		list[0].Timeout *= 5
+		first := &backendServer{name: "a", domain: "near", script: []string{silent}}
+		other := &backendServer{name: "b", domain: "elsewhere", script: []string{"<pause 600ms>" + streamResponse(event(1), event(2))}}
+		want := wholeAnswer
+		if strings.Contains(silent, "e1") {
+			other.script = []string{"<pause 600ms>" + streamResponse(event(2))}
+		}
+		b := newTestbed(t, list, first, other)
+		var got string
+		b.waitFor("the silent server has a request", func() bool {
+			got = b.send(http.MethodPost, "/a/", "", "x")
+			return first.requestCount() > 0
+		})
+		if got != want {
+			t.Errorf("got %s, want %s; requests:\n%s", got, want, b.requestLog())
+		}
+	}
+}
+
 // TestSlowCallerIsNoSilence has a caller that doesn't read for a while, so that the relay
 // can't write what the server has sent. No other server may be asked.
 func TestSlowCallerIsNoSilence(t *testing.T) {
