Ask no server while events of the stream are being forwarded

Callers would have seen: a stream cut, if its stall timer fired in the moment in which its next events arrived. Found by reading; no run has shown it.

Cause: the timer's function may wait for the lock while the arrival of events stops the timer, and a refusal that is handled meanwhile starts it again. A server that is asked then goes on before the events that are being written.

Evidence: TestNoServerAskedWhileForwarding fails on the code before.

Change: while events are being forwarded, no server is asked.

--- a/internal/prompts/quarantine/quarantine.go
+++ b/internal/prompts/quarantine/quarantine.go
@@ -11,8 +11,8 @@
 // refutes, unless another part explains them better or it was present at few of the ends
 // of that time and shortly before. Other requests must have been answered meanwhile, or
 // the servers may all be ending. Further servers that end at the same moment, as in the
-// loss of a rack, count half, and so do ends under answers that have run for long, of
-// which a server has many at a time.
+// loss of a rack, count half, and so do ends under answers that had begun, of which a
+// server has many at a time.
 //
 // Relays exchange evidence. A union of sets is idempotent, so messages may arrive
 // twice, late or in any order, and all relays come to the same verdict.
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// TestNoServerAskedWhileForwarding has the stall timer fire while events that have arrived
+// are written to the caller. A server that is asked then would send them once more, and
+// the stream would be cut.
+func TestNoServerAskedWhileForwarding(t *testing.T) {
+	j := newRetryingJob(t, budget.Limit{Slack: 100, Window: time.Hour})
+	timer := newStallTimer(j, 1, time.Minute, func() {})
+	timer.received(time.Now())
+	timer.fire()
+	if len(timer.asked) > 0 {
+		t.Error("a server was asked while events were forwarded")
+	}
+	timer.progress(time.Now(), streamPosition{lastID: "1", number: 1, events: 1})
+	timer.fire()
+	if len(timer.asked) != 1 || timer.asked[0].opts.LastEventID != "1" {
+		t.Errorf("got %d servers asked, want one, to go on after the events", len(timer.asked))
+	}
+	timer.stop(false)
+}
+
 // TestNoRetryCountedWithoutServer has a stream break when every other server has been
 // tried. Retries that sent nothing were counted until the budget was empty.
 func TestNoRetryCountedWithoutServer(t *testing.T) {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -57,13 +57,14 @@
 		lastProgress time.Time
 		longestPause time.Duration
 
-		mu       rank.Mutex
-		wait     time.Duration     // until the timer fires after an event
-		request  placement.Request // of the next takeover
-		position streamPosition    // after which a server is asked to go on
-		asked    []*takeover
-		accepted *takeover // the stream is left for it
-		stopped  bool
+		mu         rank.Mutex
+		wait       time.Duration     // until the timer fires after an event
+		request    placement.Request // of the next takeover
+		position   streamPosition    // after which a server is asked to go on
+		forwarding bool              // events after position have arrived and are being forwarded
+		asked      []*takeover
+		accepted   *takeover // the stream is left for it
+		stopped    bool
 	}
 
 	// takeover asks a server to go on with a stream. Its exchange ends when the stream
@@ -108,7 +109,7 @@
 func (t *stallTimer) fire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stopped {
+	if t.stopped || t.forwarding {
 		return
 	}
 	j := t.job
@@ -254,7 +255,7 @@
 		t.executions++
 		t.request.Excluded[x.ticket.Server.ID] = true
 	}
-	if !t.stopped && result != placement.Canceled {
+	if !t.stopped && !t.forwarding && result != placement.Canceled {
 		t.timer.Reset(takeoverInterval)
 	}
 }
@@ -272,6 +273,7 @@
 	if t.accepted != nil {
 		return false
 	}
+	t.forwarding = true
 	t.timer.Stop()
 	t.cancelAsked()
 	return true
@@ -286,6 +288,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.position = position
+	t.forwarding = false
 	if !t.stopped {
 		t.wait = max(streamStallTimeout, stallFactor*t.longestPause)
 		t.timer.Reset(t.wait)
