Don't blame a silent server when the caller has left

Callers saw nothing; found by reading. Where a request's deadline passed or its caller left while another server was being asked, the silent one was taken out of use for a second, as if it hadn't answered in time.

Change: the end of the request ends both attempts as canceled.

--- a/relay/job.go
+++ b/relay/job.go
@@ -342,7 +342,11 @@
 	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, x.cancel)
 	x.wait()
 	next := start.stop(x.err != nil)
-	if next != nil && x.ctx.Err() != nil { // given up for the other server
+	switch {
+	case next != nil && j.ctx.Err() != nil: // says nothing about the server
+		next.drop(placement.Canceled)
+		next = nil
+	case next != nil && x.ctx.Err() != nil: // given up for the other server
 		x.drop(placement.NoResponse)
 		j.executions++
 		return j.follow(next.exchange)
