--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// sendUntilUsed sends requests until one has reached a server, and returns the response to
+// the last one.
+func (b *testbed) sendUntilUsed(server *backendServer) string {
+	b.t.Helper()
+	var got string
+	b.waitFor("server "+server.name+" has a request", func() bool {
+		got = b.send(http.MethodPost, "/a/", "", "x")
+		return server.requestCount() > 0
+	})
+	return got
+}
+
 // TestSilentServerIsKeptUntilAnotherAccepts has a server fall silent and go on, while the
 // only other one doesn't accept the request. The stream was given up for the other server
 // before that had been asked, and cut.
@@ -101,11 +113,7 @@
 			list[0].Timeout *= 5
 			silent := &backendServer{name: "a", domain: "near", script: []string{c.silent}}
 			b := newTestbed(t, list, silent, &backendServer{name: "b", domain: "elsewhere", script: []string{c.other}})
-			var got string
-			b.waitFor("the silent server has a request", func() bool {
-				got = b.send(http.MethodPost, "/a/", "", "x")
-				return silent.requestCount() > 0
-			})
+			got := b.sendUntilUsed(silent)
 			want := wholeAnswer
 			if c.name == "three times, full" {
 				want = `200 Response-Signature=s "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n" complete`
@@ -125,11 +133,7 @@
 	list[0].Timeout *= 5
 	gone := &backendServer{name: "a", domain: "near", script: []string{streamResponse(event(1), "<drip>")}}
 	b := newTestbed(t, list, gone, &backendServer{name: "b", domain: "elsewhere", script: []string{"<pause 600ms>" + streamResponse(event(2))}})
-	var got string
-	b.waitFor("the server that is gone has a request", func() bool {
-		got = b.send(http.MethodPost, "/a/", "", "x")
-		return gone.requestCount() > 0
-	})
+	got := b.sendUntilUsed(gone)
 	if got != wholeAnswer {
 		t.Errorf("got %s, want %s; requests:\n%s", got, wholeAnswer, b.requestLog())
 	}
@@ -138,26 +142,16 @@
 // TestBrokenStreamGoesOnWhereAsked has a silent server break off while another one that was
 // asked to go on with the stream hasn't answered yet. That one's response must be used.
 func TestBrokenStreamGoesOnWhereAsked(t *testing.T) {
-	for _, silent := range []string{
-		streamResponse(event(1), "<pause 1100ms>", "<cut>"),
-		"<pause 1100ms><cut>",
+	for _, c := range []struct{ silent, other string }{
+		{streamResponse(event(1), "<pause 1100ms>", "<cut>"), "<pause 600ms>" + streamResponse(event(2))},
+		{"<pause 1100ms><cut>", "<pause 600ms>" + streamResponse(event(1), event(2))},
 	} {
 		list := oneRoute(routes.Stream, 2, true)
 		list[0].Timeout *= 5
-		first := &backendServer{name: "a", domain: "near", script: []string{silent}}
-		other := &backendServer{name: "b", domain: "elsewhere", script: []string{"<pause 600ms>" + streamResponse(event(1), event(2))}}
-		want := wholeAnswer
-		if strings.Contains(silent, "e1") {
-			other.script = []string{"<pause 600ms>" + streamResponse(event(2))}
-		}
-		b := newTestbed(t, list, first, other)
-		var got string
-		b.waitFor("the silent server has a request", func() bool {
-			got = b.send(http.MethodPost, "/a/", "", "x")
-			return first.requestCount() > 0
-		})
-		if got != want {
-			t.Errorf("got %s, want %s; requests:\n%s", got, want, b.requestLog())
+		first := &backendServer{name: "a", domain: "near", script: []string{c.silent}}
+		b := newTestbed(t, list, first, &backendServer{name: "b", domain: "elsewhere", script: []string{c.other}})
+		if got := b.sendUntilUsed(first); got != wholeAnswer {
+			t.Errorf("got %s, want %s; requests:\n%s", got, wholeAnswer, b.requestLog())
 		}
 	}
 }
