Find the team of a request by its key

Cause: the provider's newer deployments give each request the key of a tenant. Change: routing tables hold teams with the hashes of their keys; a request without a good key is refused as not run, and servers get the team's name.

--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -70,6 +70,7 @@
 		PromptTokens int    // of the whole prompt
 		MaxTokens    int    // maximum number of tokens to generate; 0 if not given
 		LastEventID  string // ID of the event after which to resume a stream; empty to start it
+		Key          string // of the caller's team; empty if there is none or it isn't clear. It must not be logged.
 		Header       http.Header
 	}
 
@@ -84,6 +85,7 @@
 		KVHandle     string        // of the KV cache on that server; empty if the prefill runs with the request
 		LastEventID  string        // ID of the event after which to resume the stream; empty to start it
 		Priority     int           // 0 is the highest; negative for none
+		Team         string        // name of the caller's team; empty for none
 	}
 
 	// ServerNotice is what a response says about the server that sent it, apart from
--- a/relay/job.go
+++ b/relay/job.go
@@ -39,6 +39,7 @@
 	info          RequestInfo
 	parts         []uint64 // of the prompt that other requests may share
 	route         *routes.Route
+	team          *routes.Team // of the caller; nil for none
 	routesVersion uint64
 	body          []byte
 	service       string
@@ -388,6 +389,9 @@
 // send sends the request to opts.Server. It may run beside the job while that waits.
 func (j *job) send(ctx context.Context, opts SendOptions, choice placement.Choice) (*upstream.Response, error) {
 	opts.Priority = j.priority(opts, choice)
+	if j.team != nil {
+		opts.Team = j.team.Name
+	}
 	limit := 0
 	if s := j.relay.routeView.Service(j.service); s != nil && s.MaxConns > 0 {
 		limit = max(s.MaxConns/int(j.relay.relayCount.Load()+1), 1) // one share is kept free for a relay that joins
--- a/relay/log.go
+++ b/relay/log.go
@@ -35,6 +35,9 @@
 	}
 	j.relay.metrics.countRequest(j.route.Kind, status, j.timeToFirstByte, total)
 	fields["route"] = j.route.Name
+	if j.team != nil {
+		fields["team"] = j.team.Name
+	}
 	fields["service"] = j.service
 	fields["server"] = j.serverID
 	fields["sends"] = j.sends
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -65,6 +65,9 @@
 		return err
 	}
 	j.info = info
+	if err := j.findTeam(); err != nil {
+		return err
+	}
 	j.deadline = j.start.Add(j.timeout())
 	if err := j.checkStop(); err != nil {
 		return err
@@ -76,6 +79,18 @@
 	return err
 }
 
+// findTeam finds the team of the request by its key. It fails if the route needs a key
+// and no team holds it.
+func (j *job) findTeam() error {
+	team, required := j.relay.routeView.Team(j.info.Key)
+	j.info.Key = ""
+	if team == nil && required && !j.route.Public {
+		return fault.New(fault.Unauthenticated, fault.NotRun, "no team holds the key of the request")
+	}
+	j.team = team
+	return nil
+}
+
 // awaitRoutes waits up to startupWait for the first routes and reports whether the
 // relay has any. After a restart of all processes that takes one election, and a
 // caller that is refused may come back only once.
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -396,8 +396,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	line := r.Method + " " + r.RequestURI
-	for _, name := range []string{"Stage", "Kv-Fetch", "Kv-Source", "Last-Event-Id", "Request-Priority", "Kv-Hold"} {
-		if value := r.Header.Get(name); value != "" {
+	for _, name := range []string{"Stage", "Kv-Fetch", "Kv-Source", "Last-Event-Id", "Request-Priority", "Kv-Hold", "Tenant", "Api-Key"} {
+		if value := strings.Join(r.Header[name], "+"); value != "" {
 			if name == "Kv-Fetch" {
 				value = "memory" // the address has a random port
 			}
--- a/routes/check.go
+++ b/routes/check.go
@@ -28,7 +28,7 @@
 		}
 		byHostPrefix[key] = r.Name
 	}
-	return nil
+	return validateTeams(t.Teams)
 }
 
 func (r *Route) validate(services map[string]bool) error {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -28,6 +28,9 @@
 		Services   []Service `cbor:"3,keyasint"`
 		Limits     Limits    `cbor:"4,keyasint"`
 		SourceText []byte    `cbor:"5,keyasint,omitempty"` // as uploaded by the operator
+
+		KeysRequired bool   `cbor:"6,keyasint,omitempty"` // requests need the key of one of Teams, except on public routes
+		Teams        []Team `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Route describes how to serve the requests to a host whose paths begin
@@ -42,6 +45,8 @@
 		LatencyObjective time.Duration `cbor:"7,keyasint"` // for the complete response; for a stream, for its first event
 		MaxAttempts      int           `cbor:"8,keyasint"` // limit of backend servers that may run one request
 		Targets          []Target      `cbor:"9,keyasint"`
+		Priority         int           `cbor:"10,keyasint"`           // rank among the routes; 0 is the highest
+		Public           bool          `cbor:"11,keyasint,omitempty"` // requests need no key
 	}
 
 	// Target is a service that receives a share of a route's requests.
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"endivedeck.example/contract"
 	"endivedeck.example/golden"
 )
 
@@ -39,6 +40,13 @@
 		{"no target", func(t *Table) { t.Routes[0].Targets = nil }},
 		{"no timeout", func(t *Table) { t.Routes[0].Timeout = 0 }},
 		{"prefix without a trailing slash", func(t *Table) { t.Routes[0].Prefix = "/a" }},
+		{"teams", func(t *Table) { t.Teams = []Team{{Name: "a", KeyHashes: []string{"1", "1"}}, {Name: "b"}} }},
+		{"teams with the same key", func(t *Table) {
+			t.Teams = []Team{{Name: "a", KeyHashes: []string{"1"}}, {Name: "b", KeyHashes: []string{"2", "1"}}}
+		}},
+		{"team without a name", func(t *Table) { t.Teams = []Team{{}} }},
+		{"team whose name ends a header", func(t *Table) { t.Teams = []Team{{Name: "a\r\nb"}} }},
+		{"team with a negative priority", func(t *Table) { t.Teams = []Team{{Name: "a", Priority: -2}} }},
 		{"service without a name", func(t *Table) { t.Services[0].Name = "" }},
 	} {
 		table := sampleTable()
@@ -75,6 +83,32 @@
 	golden.Check(t, "view.golden", got.String())
 }
 
+// TestTeam checks which team holds a key, while a key moves from one team to another
+// and another is withdrawn.
+func TestTeam(t *testing.T) {
+	var got strings.Builder
+	v := NewView()
+	hash := contract.HashKey
+	for version, teams := range [][]Team{
+		{{Name: "a", Priority: 2, KeyHashes: []string{hash("k1"), hash("k2")}}, {Name: "b", Priority: RoutePriority, KeyHashes: []string{hash("k3")}}},
+		{{Name: "a", Priority: 2}, {Name: "b", Priority: RoutePriority, KeyHashes: []string{hash("k3"), hash("k1")}}},
+		{},
+	} {
+		table := sampleTable()
+		table.Version, table.KeysRequired, table.Teams = uint64(version+1), true, teams
+		v.Install(table)
+		for _, key := range []string{"k1", "k2", "k3", "", "K1", hash("k1")} {
+			team, required := v.Team(key)
+			name := "none"
+			if team != nil {
+				name = team.Name
+			}
+			fmt.Fprintf(&got, "version %d, key %.8q: team %s, priority %d, required %v\n", version+1, key, name, (&Route{Priority: 5}).Rank(team), required)
+		}
+	}
+	golden.Check(t, "team.golden", got.String())
+}
+
 // TestPickService checks that requests are distributed over a route's services by
 // weight, and that a service of weight 0 receives none.
 func TestPickService(t *testing.T) {
--- a/routes/view.go
+++ b/routes/view.go
@@ -15,6 +15,8 @@
 	byHostPrefix map[string]*Route // keys are host + prefix; nil while no table is in force
 	services     map[string]*Service
 	limits       Limits
+	keysRequired bool
+	teams        teamIndex
 }
 
 // NewView returns a view with no table in force.
@@ -32,6 +34,7 @@
 	for i := range t.Services {
 		services[t.Services[i].Name] = &t.Services[i]
 	}
+	teams := newTeamIndex(t.Teams)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t.Version <= v.version && v.byHostPrefix != nil {
@@ -41,6 +44,8 @@
 	v.byHostPrefix = byHostPrefix
 	v.services = services
 	v.limits = t.Limits
+	v.keysRequired = t.KeysRequired
+	v.teams = teams
 	return true
 }
 
@@ -58,6 +63,15 @@
 	return v.limits
 }
 
+// Team returns the team that holds a key, or nil, and whether requests need a key.
+// The team is shared and must not be modified.
+func (v *View) Team(key string) (team *Team, required bool) {
+	v.mu.Lock()
+	teams, required := v.teams, v.keysRequired
+	v.mu.Unlock()
+	return teams.find(key), required
+}
+
 // Service returns the service with the given name, or nil.
 func (v *View) Service(name string) *Service {
 	v.mu.Lock()
