Take no keys without word that the routes are current, where that is asked for

Cause: a relay that is cut off from control goes on with its routes, in which a key may stand that was withdrawn since; some deployments want it refused. Change: an update says how long ago its control instance was known to have all that the leader had committed. Result: TestStrictRevocation; no effect without the setting.

--- a/control/publisher.go
+++ b/control/publisher.go
@@ -144,12 +144,20 @@
 // updateSince returns an update for a relay, with the route table only if the
 // relay's is older.
 func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
+	replica := p.control.activeReplica()
+	var currentAt time.Time
+	if replica != nil {
+		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
+	}
 	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(time.Now()), RelayAddresses: p.relayAddresses()}
 	if table := p.control.state.Routes(); table.Version > version {
 		table.SourceText = nil
 		update.Routes = &table
 	}
-	if replica := p.control.activeReplica(); replica != nil {
+	if !currentAt.IsZero() {
+		update.Current, update.Age = true, time.Since(currentAt)
+	}
+	if replica != nil {
 		for _, member := range replica.Leadership().Status.Members {
 			update.ControlAddresses = append(update.ControlAddresses, member.Address)
 		}
--- a/message/message.go
+++ b/message/message.go
@@ -179,6 +179,8 @@
 		Servers          []roster.Observation `cbor:"2,keyasint"`
 		ControlAddresses []string             `cbor:"3,keyasint"` // addresses of the control instances
 		RelayAddresses   []string             `cbor:"4,keyasint"` // addresses of the relays subscribed to this control instance
+		Current          bool                 `cbor:"5,keyasint"` // the control instance knows since when its state was current
+		Age              time.Duration        `cbor:"6,keyasint"` // since then
 	}
 
 	// OperateResponse is the result of an operator's request.
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -61,6 +61,7 @@
 		ownProgress    termProgress
 
 		firstUnstable    uint64    // index of the first entry not yet returned by Ready; 0 for none
+		currentAt        time.Time // when this follower last had all that its leader had committed
 		savedHardState   HardState // as last returned by Ready
 		receivedSnapshot *Snapshot // for the next Ready
 		messages         []Message
@@ -145,6 +146,16 @@
 	return c.confirmedAt
 }
 
+// CurrentAt returns the newest time at which this replica is known to have had all
+// entries that its leader had committed. The leader may have been deposed up to an
+// election timeout before without knowing it yet.
+func (c *Core) CurrentAt() time.Time {
+	if c.role == leader {
+		return c.confirmedAt
+	}
+	return c.currentAt
+}
+
 // NextTick returns the time at which Tick must next be called.
 func (c *Core) NextTick() time.Time {
 	if c.role == leader {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -49,6 +49,7 @@
 		Leading     bool
 		Term        uint64
 		ConfirmedAt time.Time // no other replica was leader at this time
+		CurrentAt   time.Time // see Core.CurrentAt
 		Leader      Member    // the current leader; zero if it is unknown
 		Status      Status
 	}
@@ -327,6 +328,7 @@
 		Leading:     r.core.Leading(),
 		Term:        status.Term,
 		ConfirmedAt: r.core.ConfirmedAt(),
+		CurrentAt:   r.core.CurrentAt(),
 		Status:      status,
 	}
 	for _, m := range status.Members {
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -130,6 +130,9 @@
 	c.mergeEntries(m.Entries)
 	match := m.Index + uint64(len(m.Entries))
 	c.commitTo(min(m.Commit, match))
+	if c.commit >= m.Commit {
+		c.currentAt = now
+	}
 	c.send(Message{Kind: AppendReply, To: m.From, Index: match, Sent: m.Sent})
 }
 
--- a/relay/control.go
+++ b/relay/control.go
@@ -93,6 +93,7 @@
 		r.placement.SetServers(servers)
 		r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
 	}
+	r.currency.confirm(now, update) // after its routes are in force
 	if _, known := r.routeView.Version(); known {
 		r.routesOnce.Do(r.closeRoutesKnown) // after the servers of the same update
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,10 @@
 		SilenceTimeout settings.Duration `json:"silence" range:"100ms..10m"`     // time without an announcement after which a backend server gets no requests
 		GracePeriod    settings.Duration `json:"grace" range:"0s..10m"`          // from the stop signal until the process is killed
 		Limits         gate.Limits       `json:"limits"`
+
+		// RevocationLimit is how long the relay takes keys without word from a control
+		// instance that its routes are current; 0 for no limit.
+		RevocationLimit settings.Duration `json:"revocation" range:"0s..1h"`
 	}
 
 	// Relay is a running relay.
@@ -77,6 +81,7 @@
 		dialect       Dialect
 		client        *wire.Client
 		routeView     *routes.View
+		currency      currency      // of routeView
 		routesKnown   chan struct{} // closed when the first routes are in force
 		routesOnce    sync.Once     // closes routesKnown
 		roster        *roster.Roster
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -84,9 +84,13 @@
 func (j *job) findTeam() error {
 	team, required := j.relay.routeView.Team(j.info.Key)
 	j.info.Key = ""
-	if team == nil && required && !j.route.Public {
+	required = required && !j.route.Public
+	if team == nil && required {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "no team holds the key of the request")
 	}
+	if required && j.relay.keysMayBeWithdrawn(j.start) {
+		return fault.New(fault.Unavailable, fault.NotRun, "the key may have been withdrawn: no control instance has said for %v that the routes are current", j.relay.settings.RevocationLimit.Std())
+	}
 	j.team = team
 	return nil
 }
--- a/relay/team_test.go
+++ b/relay/team_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"endivedeck.example/contract"
 	"endivedeck.example/golden"
+	"endivedeck.example/relay"
 	"endivedeck.example/routes"
+	"endivedeck.example/settings"
 )
 
 // installTeams makes the routes require the keys of teams.
@@ -54,7 +57,9 @@
 		b.installTeams(6, []routes.Route{list[0], public},
 			routes.Team{Name: "a", KeyHashes: []string{contract.HashKey("k1"), contract.HashKey("k2")}},
 			routes.Team{Name: "b", KeyHashes: []string{contract.HashKey("k3")}})
-		b.waitFor("the routes are in force", func() bool { return strings.HasPrefix(b.send("GET", "/none/", "", ""), "404") && strings.HasPrefix(b.send("POST", "/a/", "Api-Key: none\r\n", ""), "401") })
+		b.waitFor("the routes are in force", func() bool {
+			return strings.HasPrefix(b.send("GET", "/none/", "", ""), "404") && strings.HasPrefix(b.send("POST", "/a/", "Api-Key: none\r\n", ""), "401")
+		})
 		response := b.send("POST", c.path, c.header, "x")
 		fmt.Fprintf(&got, "%s: %s\n%s", c.name, response, b.requestLog())
 	}
@@ -77,3 +82,32 @@
 	b.installTeams(8, list, routes.Team{Name: "a"}, routes.Team{Name: "b"})
 	b.waitFor("the key is withdrawn", func() bool { return strings.HasPrefix(b.send("GET", "/a/", "Api-Key: k1\r\n", ""), "401") })
 }
+
+// TestStrictRevocation checks that a relay with a revocation limit takes keys only while a
+// control instance says that its routes are current, and goes on with public routes.
+func TestStrictRevocation(t *testing.T) {
+	var got strings.Builder
+	list := oneRoute(routes.Idempotent, 1, false)
+	public := list[0]
+	public.Name, public.Prefix, public.Public = "open", "/open/", true
+	for _, c := range []struct {
+		name  string
+		limit time.Duration
+		age   time.Duration // of the control instance's knowledge; negative if it has none
+	}{
+		{"no limit, never current", 0, -1},
+		{"limit, never current", time.Minute, -1},
+		{"limit, current", time.Hour, time.Second},
+		{"limit, current too long ago", time.Minute, 2 * time.Minute},
+	} {
+		b := newTestbed(t, list, &backendServer{name: "a", script: []string{plainResponse(200, "good")}})
+		b.installTeams(6, []routes.Route{list[0], public}, routes.Team{Name: "a", KeyHashes: []string{contract.HashKey("k1")}})
+		b.update.Current, b.update.Age = c.age >= 0, max(c.age, 0)
+		r := b.startRelayWith("strict", "near", func(s *relay.Settings) { s.RevocationLimit = settings.Duration(c.limit) })
+		for _, request := range []struct{ path, header string }{{"/a/", "Api-Key: k1\r\n"}, {"/a/", "Api-Key: k9\r\n"}, {"/open/", ""}} {
+			response := b.sendTo(r, "GET", request.path, request.header, "")
+			fmt.Fprintf(&got, "%s: %s %s: %.3s\n", c.name, request.path, strings.TrimSpace(request.header), response)
+		}
+	}
+	golden.Check(t, "strict.golden", got.String())
+}
