Send relays no routes that a restarted instance has only from its disk

Change: an instance publishes routes once it was current since its start, and looks for that ten times a second until then.

--- a/control/publisher.go
+++ b/control/publisher.go
@@ -13,7 +13,13 @@
 
 // updateInterval is the time between updates to a relay when nothing changes. It
 // bounds how stale a relay's record of a backend server's last announcement is.
-const updateInterval = time.Second
+const (
+	updateInterval = time.Second
+
+	// startupInterval is the same while this instance doesn't know whether its
+	// route table is current.
+	startupInterval = 100 * time.Millisecond
+)
 
 var _ Watcher = (*relayPublisher)(nil)
 
@@ -120,8 +126,8 @@
 func (s *relaySubscriber) run() {
 	defer s.publisher.remove(s)
 	defer s.call.End()
-	ticker := time.NewTicker(updateInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(updateInterval)
+	defer timer.Stop()
 	sent := s.request.RoutesVersion
 	for {
 		update := s.publisher.updateSince(sent)
@@ -132,17 +138,22 @@
 		if update.Routes != nil {
 			sent = update.Routes.Version
 		}
+		timer.Reset(updateInterval)
+		if !update.Current {
+			timer.Reset(startupInterval)
+		}
 		select {
 		case <-s.done:
 			return
 		case <-s.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
 // updateSince returns an update for a relay, with the route table only if the
-// relay's is older.
+// relay's is older and this instance's was current at some time since it started: the
+// one that it has from its disk may have keys that were withdrawn.
 func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
 	replica := p.control.activeReplica()
 	var currentAt time.Time
@@ -150,13 +161,13 @@
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
 	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(time.Now()), RelayAddresses: p.relayAddresses()}
-	if table := p.control.state.Routes(); table.Version > version {
-		table.SourceText = nil
-		update.Routes = &table
-	}
 	if !currentAt.IsZero() {
 		update.Current, update.Age = true, time.Since(currentAt)
 	}
+	if table := p.control.state.Routes(); update.Current && table.Version > version {
+		table.SourceText = nil
+		update.Routes = &table
+	}
 	if replica != nil {
 		for _, member := range replica.Leadership().Status.Members {
 			update.ControlAddresses = append(update.ControlAddresses, member.Address)
--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -324,3 +324,39 @@
 		r.updates <- update
 	}
 }
+
+// TestNoOldRoutesAfterRestart restarts an instance whose disk has an older route table
+// while it is cut off from the others: a relay gets none from it until it has the newest,
+// since a key may have been withdrawn meanwhile.
+func TestNoOldRoutesAfterRestart(t *testing.T) {
+	withSeeds(t, []string{"seed-1", "seed-2", "seed-3"}, func(cl *cluster) {
+		cl.awaitLeader()
+		version := uint64(0)
+		for range 120 { // enough for a snapshot
+			version++
+			cl.putRoutes("seed-1", routeTable(version, "ledger"))
+		}
+		interval.Sleep(cl.t.Context(), 2*time.Second)
+		disk := cl.controls["seed-2"].disk
+		cl.kill("seed-2")
+		cl.putRoutes("seed-1", routeTable(version+1, "ledger"))
+		cl.network.Isolate("seed-2", "seed-1", "seed-3")
+		in := cl.startWith("seed-2", bootstrapJoin, disk)
+		interval.Sleep(cl.t.Context(), 3*time.Second)
+		if got := in.control.state.Routes().Version; got == 0 || got > version {
+			t.Fatalf("got version %d from the disk, want one of 1 to %d", got, version)
+		}
+		if update := in.control.publisher.updateSince(0); update.Routes != nil || update.Current {
+			t.Errorf("got version %d while cut off, want no routes", update.Routes.Version)
+		}
+		cl.network.Heal("seed-2")
+		interval.Sleep(cl.t.Context(), 3*time.Second)
+		update := in.control.publisher.updateSince(0)
+		if update.Routes == nil || update.Routes.Version != version+1 {
+			t.Errorf("got routes %+v once it is back, want version %d", update.Routes, version+1)
+		}
+		if update.Age > time.Second {
+			t.Errorf("got an age of %v, want under 1 s", update.Age)
+		}
+	})
+}
