Report the usage of teams as a duty of one holder

Change: relays count the requests that backend servers began, by windows of the time of day, and push totals to all control instances. The leader takes the duty by a log entry, whose index is its fencing token, commits the sums of a window before it sends them, and makes each call only right after a majority has confirmed that it leads. Nothing runs where the settings name no provider or duty.

--- a/control/control.go
+++ b/control/control.go
@@ -48,18 +48,19 @@
 type (
 	// Settings is the "control" section of the settings file.
 	Settings struct {
-		Name            string      `json:"name"`                 // instance name in the replica group; default: the name of the process's instance
-		Listen          string      `json:"listen" need:"yes"`    // listen address for other processes of the system
-		OperatorListen  string      `json:"operators" need:"yes"` // listen address of the operator API
-		OperatorAPI     string      `json:"interface"`            // operator API to serve, by its name in OperatorAPIs
-		OperatorKeys    []Operator  `json:"operatorKeys"`
-		DataDir         string      `json:"data"`                // data directory; an instance without one is a non-voting observer that persists nothing
-		Founders        []Founder   `json:"founders" need:"yes"` // initial members; with BootstrapMode "join", any current members
-		BootstrapMode   string      `json:"founding"`            // with an empty data directory: survey, found or join
-		Transport       string      `json:"transport"`
-		RolePolicy      string      `json:"roles"` // name of the role policy
-		Limits          gate.Limits `json:"limits"`
-		SnapshotEntries uint64      `json:"snapshotEntries" range:"100..10000000"` // log entries between snapshots
+		Name            string       `json:"name"`                 // instance name in the replica group; default: the name of the process's instance
+		Listen          string       `json:"listen" need:"yes"`    // listen address for other processes of the system
+		OperatorListen  string       `json:"operators" need:"yes"` // listen address of the operator API
+		OperatorAPI     string       `json:"interface"`            // operator API to serve, by its name in OperatorAPIs
+		OperatorKeys    []Operator   `json:"operatorKeys"`
+		DataDir         string       `json:"data"`                // data directory; an instance without one is a non-voting observer that persists nothing
+		Founders        []Founder    `json:"founders" need:"yes"` // initial members; with BootstrapMode "join", any current members
+		BootstrapMode   string       `json:"founding"`            // with an empty data directory: survey, found or join
+		Transport       string       `json:"transport"`
+		RolePolicy      string       `json:"roles"` // name of the role policy
+		Limits          gate.Limits  `json:"limits"`
+		SnapshotEntries uint64       `json:"snapshotEntries" range:"100..10000000"` // log entries between snapshots
+		Duties          DutySettings `json:"duties,omitzero"`
 	}
 
 	// Operator is an account of the operator API.
@@ -88,6 +89,7 @@
 		isObserver     bool           // non-voting: there is no data directory
 		serverRegistry *roster.Registry
 		publisher      *relayPublisher
+		duties         *dutyManager // nil if there are none
 		journal        *wal.Journal
 		state          *State
 		peers          *peerSender
@@ -166,6 +168,10 @@
 	c.serverRegistry = roster.NewRegistry()
 	c.publisher = newRelayPublisher(c)
 	c.state.AddWatcher(c.publisher)
+	if c.duties, err = newDutyManager(c); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -247,6 +253,7 @@
 	go m.run(ctx)
 	p := newPlanner(c)
 	go p.run(ctx)
+	c.duties.start(ctx)
 	return nil
 }
 
@@ -261,6 +268,7 @@
 	}
 	c.leases.stop()
 	c.publisher.stop()
+	c.duties.stop()
 	if c.operatorServer != nil {
 		_ = c.operatorServer.Stop(ctx)
 	}
@@ -332,7 +340,7 @@
 }
 
 func (c *Control) handlers() map[string]wire.Handler {
-	return map[string]wire.Handler{
+	handlers := map[string]wire.Handler{
 		message.MethodRenew:          wire.HandlerFunc(c.leases.handleRenew),
 		message.MethodRelease:        wire.HandlerFunc(c.leases.handleRelease),
 		message.MethodBegin:          proposeHandler(c, func(in *order.Begin) Command { return Command{Begin: in} }),
@@ -345,4 +353,6 @@
 		message.MethodJoin:           wire.HandlerFunc(c.handleJoin),
 		message.MethodUpdates:        wire.HandlerFunc(c.publisher.handleSubscribe),
 	}
+	c.duties.addHandlers(handlers)
+	return handlers
 }
--- a/control/operate.go
+++ b/control/operate.go
@@ -133,7 +133,7 @@
 	now := time.Now()
 	backends := c.leases.backends()
 	slices.SortFunc(backends, func(a, b message.Backend) int { return cmp.Compare(a.Name, b.Name) })
-	return &message.Status{
+	status := &message.Status{
 		Quorum:       lead.Status,
 		Revision:     c.state.Revision(),
 		EntryCount:   c.leases.table.Count(now, kindEntry),
@@ -142,6 +142,11 @@
 		Changes:      c.state.Changes(),
 		OrderCount:   c.state.OrderCount(),
 	}
+	for _, team := range c.state.Routes().Teams {
+		status.Teams = append(status.Teams, message.Team{Name: team.Name, Keys: len(team.KeyHashes)})
+	}
+	c.duties.status(now, status)
+	return status
 }
 
 // putContract stores or retires a contract. The state in the response is
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -144,7 +144,8 @@
 // updateSince returns an update for a relay, with the route table only if the
 // relay's is older.
 func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
-	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(time.Now()), RelayAddresses: p.relayAddresses()}
+	now := time.Now()
+	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(now), RelayAddresses: p.relayAddresses(), Time: p.control.duties.time(now)}
 	if table := p.control.state.Routes(); table.Version > version {
 		table.SourceText = nil
 		update.Routes = &table
--- a/control/state.go
+++ b/control/state.go
@@ -6,6 +6,8 @@
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/duties/tenure"
+	"endivedeck.example/internal/usage/ledger"
 	"endivedeck.example/order"
 	"endivedeck.example/quorum"
 	"endivedeck.example/rank"
@@ -28,6 +30,8 @@
 		Finish   *order.Finish          `cbor:"5,keyasint,omitempty"`
 		Shutdown *order.SidecarShutdown `cbor:"6,keyasint,omitempty"`
 		Routes   *routes.Table          `cbor:"7,keyasint,omitempty"`
+		Take     *tenure.Take           `cbor:"8,keyasint,omitempty"`
+		Usage    *ledger.Close          `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Watcher is notified of state changes. Its methods are called on the
@@ -48,6 +52,8 @@
 		changes   *change.Store
 		orders    *order.Store
 		routes    *routes.Store
+		tenures   *tenure.Store
+		usage     *ledger.Store
 		watchers  []Watcher
 	}
 
@@ -58,6 +64,8 @@
 		Orders    []order.Record          `cbor:"3,keyasint"`
 		Shutdowns []order.SidecarShutdown `cbor:"4,keyasint,omitempty"`
 		Routes    *routes.Store           `cbor:"5,keyasint,omitempty"`
+		Tenures   *tenure.Store           `cbor:"6,keyasint,omitempty"` // nil if no duty was ever held
+		Usage     *ledger.Store           `cbor:"7,keyasint,omitempty"` // nil if no window was ever closed
 	}
 )
 
@@ -69,6 +77,8 @@
 		changes:   change.NewStore(),
 		orders:    order.NewStore(),
 		routes:    new(routes.Store),
+		tenures:   new(tenure.Store),
+		usage:     new(ledger.Store),
 	}
 }
 
@@ -77,7 +87,7 @@
 
 // Apply implements quorum.StateMachine. Its result is a contract.Outcome, a
 // change.Outcome, an order.BeginResult, an order.FinishResult, a routes.Outcome,
-// nil for a command without a result, or an error for a command that can't be
+// a tenure.Tenure, a ledger.Outcome, nil for a command without a result, or an error for a command that can't be
 // decoded.
 func (s *State) Apply(index, term uint64, data []byte) any {
 	var c Command
@@ -112,6 +122,10 @@
 	case c.Routes != nil:
 		outcome := s.routes.Apply(*c.Routes)
 		return outcome, outcome.Stored
+	case c.Take != nil:
+		return s.tenures.Apply(index, *c.Take), false
+	case c.Usage != nil:
+		return s.usage.Apply(*c.Usage), false
 	}
 	return fault.New(fault.Malformed, fault.NotRun, "log command has no content"), false
 }
@@ -120,12 +134,19 @@
 func (s *State) Save() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return wire.Encode(stateSnapshot{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List(), Shutdowns: s.orders.ListShutdowns(), Routes: s.routes})
+	saved := stateSnapshot{Contracts: s.contracts, Changes: s.changes, Orders: s.orders.List(), Shutdowns: s.orders.ListShutdowns(), Routes: s.routes}
+	if len(s.tenures.Tenures) > 0 {
+		saved.Tenures = s.tenures
+	}
+	if s.usage.Next > 0 {
+		saved.Usage = s.usage
+	}
+	return wire.Encode(saved)
 }
 
 // Restore implements quorum.StateMachine.
 func (s *State) Restore(data []byte) error {
-	saved := stateSnapshot{Contracts: contract.NewStore(), Changes: change.NewStore(), Routes: new(routes.Store)}
+	saved := stateSnapshot{Contracts: contract.NewStore(), Changes: change.NewStore(), Routes: new(routes.Store), Tenures: new(tenure.Store), Usage: new(ledger.Store)}
 	if err := wire.Decode(data, &saved); err != nil {
 		return err
 	}
@@ -134,6 +155,8 @@
 	s.changes = saved.Changes
 	s.orders.Restore(saved.Orders, saved.Shutdowns)
 	s.routes = saved.Routes
+	s.tenures = saved.Tenures
+	s.usage = saved.Usage
 	s.mu.Unlock()
 	s.notifyChanged()
 	return nil
@@ -204,6 +227,21 @@
 	return s.routes.Table
 }
 
+// Tenure returns the latest tenure of a duty.
+func (s *State) Tenure(duty string) tenure.Tenure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tenures.Tenures[duty]
+}
+
+// Usage returns the closed usage windows that aren't known to be reported, and the number of
+// the first one that isn't closed. The records must not be modified.
+func (s *State) Usage() ledger.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.usage
+}
+
 // OrderCount returns the number of order records.
 func (s *State) OrderCount() int {
 	s.mu.Lock()
--- a/message/message.go
+++ b/message/message.go
@@ -11,11 +11,13 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/prompts/quarantine"
+	"endivedeck.example/internal/usage/meter"
 	"endivedeck.example/order"
 	"endivedeck.example/placement"
 	"endivedeck.example/quorum"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
+	"endivedeck.example/settings"
 )
 
 // Methods of calls, with the types of request and response.
@@ -37,6 +39,7 @@
 	MethodServiceCall    = "call"     // entry to sidecar: ServiceCall, ServiceResponse
 	MethodUpdates        = "news"     // relay to control: SubscribeRequest, stream of RelayUpdate
 	MethodLoads          = "loads"    // relay to relay: stream of RelayLoads
+	MethodUsage          = "usage"    // relay to control: UsageHello, stream of UsageReport
 )
 
 // Kinds of backend servers.
@@ -45,6 +48,12 @@
 	KindService = "service"
 )
 
+// States of usage windows.
+const (
+	WindowOpen   = "open"   // relays still count, or their counts are awaited
+	WindowClosed = "closed" // the counts are final, and not known to be reported
+)
+
 type (
 	// Empty is an empty message.
 	Empty struct{}
@@ -177,8 +186,23 @@
 	RelayUpdate struct {
 		Routes           *routes.Table        `cbor:"1,keyasint,omitempty"` // if newer than the routes sent before
 		Servers          []roster.Observation `cbor:"2,keyasint"`
-		ControlAddresses []string             `cbor:"3,keyasint"` // addresses of the control instances
-		RelayAddresses   []string             `cbor:"4,keyasint"` // addresses of the relays subscribed to this control instance
+		ControlAddresses []string             `cbor:"3,keyasint"`           // addresses of the control instances
+		RelayAddresses   []string             `cbor:"4,keyasint"`           // addresses of the relays subscribed to this control instance
+		Time             int64                `cbor:"5,keyasint,omitempty"` // of day at the control instance, Unix milliseconds; only where usage is reported
+	}
+
+	// UsageHello opens a stream of usage reports.
+	UsageHello struct {
+		Relay       string `cbor:"1,keyasint"`
+		Incarnation string `cbor:"2,keyasint"` // unique for each start of the relay
+	}
+
+	// UsageReport has the requests that backend servers began for a relay, as totals of
+	// the teams and windows that have changed since the report before.
+	UsageReport struct {
+		Time     int64          `cbor:"1,keyasint"` // of day at the relay, Unix milliseconds
+		Complete int64          `cbor:"2,keyasint"` // number of the first window whose counts may still grow
+		Windows  []meter.Window `cbor:"3,keyasint,omitempty"`
 	}
 
 	// OperateResponse is the result of an operator's request.
@@ -203,6 +227,34 @@
 		Backends     []Backend       `cbor:"5,keyasint" json:"backends"`
 		Changes      []change.Change `cbor:"6,keyasint" json:"changes"`
 		OrderCount   int             `cbor:"7,keyasint" json:"orders"` // number of order records
+		Duties       []Duty          `cbor:"8,keyasint,omitempty" json:"duties,omitempty"`
+		UsageWindows []UsageWindow   `cbor:"9,keyasint,omitempty" json:"usage,omitempty"` // open, or not known to be reported
+		Teams        []Team          `cbor:"10,keyasint,omitempty" json:"teams,omitempty"`
+	}
+
+	// Duty is a duty towards the provider.
+	Duty struct {
+		Name        string            `cbor:"1,keyasint" json:"name"`
+		Holder      string            `cbor:"2,keyasint" json:"holder"`                          // instance; empty if nobody has held it yet
+		Token       uint64            `cbor:"3,keyasint" json:"token"`                           // fencing token of the holder
+		LastSuccess settings.Duration `cbor:"4,keyasint,omitempty" json:"lastSuccess,omitempty"` // age of the last call that the provider accepted from this leader; 0 for none
+	}
+
+	// UsageWindow is a window of usage.
+	UsageWindow struct {
+		Number   int64     `cbor:"1,keyasint" json:"window"`
+		Start    time.Time `cbor:"2,keyasint" json:"start"`
+		State    string    `cbor:"3,keyasint" json:"state"` // WindowOpen or WindowClosed
+		Late     bool      `cbor:"4,keyasint" json:"late"`  // the report is late
+		Teams    int       `cbor:"5,keyasint" json:"teams"`
+		Requests uint64    `cbor:"6,keyasint" json:"requests"`
+		Missing  int       `cbor:"7,keyasint" json:"missing"` // relays whose counts may be incomplete
+	}
+
+	// Team is a team with the number of its keys.
+	Team struct {
+		Name string `cbor:"1,keyasint" json:"name"`
+		Keys int    `cbor:"2,keyasint" json:"keys"`
 	}
 
 	// GrantsRequest subscribes an entry to the grants of a sidecar.
--- a/relay/control.go
+++ b/relay/control.go
@@ -64,6 +64,9 @@
 	defer call.Cancel()
 	stopCancel := context.AfterFunc(ctx, call.Cancel)
 	defer stopCancel()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.relay.usage.start(ctx, s.address)
 	for {
 		var update message.RelayUpdate
 		if err := call.Receive(&update); err != nil {
@@ -73,7 +76,9 @@
 			s.lossLogged = false
 			s.relay.log.WithField("control", s.address).Info("reconnected to control instance")
 		}
-		s.relay.applyUpdate(time.Now(), s.address, update)
+		now := time.Now()
+		s.relay.usage.observe(now, s.address, update.Time)
+		s.relay.applyUpdate(now, s.address, update)
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -136,8 +136,12 @@
 // countEvents counts events that have been received, and records the progress of the
 // answer now and then.
 func (f *responseForwarder) countEvents(n int) {
+	now := time.Now()
+	if f.events == 0 && n > 0 {
+		f.job.countRun(now)
+	}
 	f.events += n
-	if now := time.Now(); n > 0 && now.Sub(f.recorded) >= progressInterval {
+	if n > 0 && now.Sub(f.recorded) >= progressInterval {
 		f.recorded = now
 		f.ticket.Progress(now)
 		f.job.recordProgress(now, f.events)
--- a/relay/job.go
+++ b/relay/job.go
@@ -355,6 +355,7 @@
 	if x.err != nil {
 		ticket.End(time.Now(), placement.Outcome{Result: j.failureResult(ticket, x.err)})
 		if fault.FromError(x.err).Ran != fault.NotRun {
+			j.countPlainRun(x)
 			j.executions++
 			j.recordServerEnd(ticket, x.err, 0)
 		} else {
@@ -374,6 +375,7 @@
 		j.colocated = j.colocated || x.opts.KVHandle != ""
 		return fault.New(fault.Overloaded, fault.NotRun, "backend server %s refused the request: status %d", ticket.Server.ID, x.resp.Status)
 	}
+	j.countPlainRun(x)
 	j.executions++
 	if j.response.headerSent && class != Succeeded {
 		ticket.End(time.Now(), placement.Outcome{Result: placement.Failed})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,7 @@
 		SilenceTimeout settings.Duration `json:"silence" range:"100ms..10m"`     // time without an announcement after which a backend server gets no requests
 		GracePeriod    settings.Duration `json:"grace" range:"0s..10m"`          // from the stop signal until the process is killed
 		Limits         gate.Limits       `json:"limits"`
+		Usage          UsageSettings     `json:"usage,omitzero"`
 	}
 
 	// Relay is a running relay.
@@ -86,6 +87,7 @@
 		cacheSurvey   *cacheSurvey
 		quarantine    *quarantine.Table
 		evidence      *evidenceExchange
+		usage         *usageReporter // nil if usage isn't counted
 		buffers       bufferLimit
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
@@ -174,6 +176,7 @@
 	r.relayCount.Store(1)
 	r.cacheSurvey = newCacheSurvey(r)
 	r.evidence = newEvidenceExchange(r)
+	r.usage = newUsageReporter(r, settings.Usage)
 	r.metrics = newRelayMetrics(host.Metrics, r)
 	return r, nil
 }
@@ -221,6 +224,7 @@
 	}
 	err := r.stopServing(ctx)
 	_ = r.readyServer.Stop(ctx)
+	r.usage.flush(ctx)
 	r.cancel()
 	r.peerServer.Close()
 	r.tasks.Wait()
--- a/relay/team_test.go
+++ b/relay/team_test.go
@@ -54,7 +54,9 @@
 		b.installTeams(6, []routes.Route{list[0], public},
 			routes.Team{Name: "a", KeyHashes: []string{contract.HashKey("k1"), contract.HashKey("k2")}},
 			routes.Team{Name: "b", KeyHashes: []string{contract.HashKey("k3")}})
-		b.waitFor("the routes are in force", func() bool { return strings.HasPrefix(b.send("GET", "/none/", "", ""), "404") && strings.HasPrefix(b.send("POST", "/a/", "Api-Key: none\r\n", ""), "401") })
+		b.waitFor("the routes are in force", func() bool {
+			return strings.HasPrefix(b.send("GET", "/none/", "", ""), "404") && strings.HasPrefix(b.send("POST", "/a/", "Api-Key: none\r\n", ""), "401")
+		})
 		response := b.send("POST", c.path, c.header, "x")
 		fmt.Fprintf(&got, "%s: %s\n%s", c.name, response, b.requestLog())
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -62,7 +62,7 @@
 			Interval: options.UserTimeout / 2,
 			Count:    2,
 		},
-		Control: p.setUserTimeout,
+		Control: UserTimeoutControl(options.UserTimeout),
 	}
 	return p
 }
@@ -70,17 +70,19 @@
 // DialCount returns the number of attempts to open a connection.
 func (p *Pool) DialCount() int64 { return p.dialCount.Load() }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection
-// whose peer does not acknowledge data.
-func (p *Pool) setUserTimeout(_, _ string, rawConn syscall.RawConn) error {
-	var optErr error
-	err := rawConn.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(p.options.UserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// UserTimeoutControl returns a net.Dialer.Control that sets TCP_USER_TIMEOUT, so that the
+// kernel closes a connection whose peer does not acknowledge data.
+func UserTimeoutControl(timeout time.Duration) func(network, address string, rawConn syscall.RawConn) error {
+	return func(_, _ string, rawConn syscall.RawConn) error {
+		var optErr error
+		err := rawConn.Control(func(fd uintptr) {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
 	}
-	return optErr
 }
 
 // acquire returns an idle connection that is still usable, or opens one. At most
