--- a/control/publisher.go
+++ b/control/publisher.go
@@ -155,12 +155,13 @@
 // relay's is older and this instance's was current at some time since it started: the
 // one that it has from its disk may have keys that were withdrawn.
 func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
+	now := time.Now()
 	replica := p.control.activeReplica()
 	var currentAt time.Time
 	if replica != nil {
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
-	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(time.Now()), RelayAddresses: p.relayAddresses()}
+	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(now), RelayAddresses: p.relayAddresses(), Time: p.control.duties.time(now)}
 	if !currentAt.IsZero() {
 		update.Current, update.Age = true, time.Since(currentAt)
 	}
