Send relays what is new, and pass departures on between them

Change: updates are incremental with departures first and routes apart; relays pass departures on; a departure without a start time ends the start that was first seen before it, whatever old announcement arrives later.

--- a/control/publisher.go
+++ b/control/publisher.go
@@ -8,6 +8,7 @@
 
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
+	"endivedeck.example/roster"
 	"endivedeck.example/wire"
 )
 
@@ -37,6 +38,12 @@
 		request   message.SubscribeRequest
 		wake      chan struct{}
 		done      chan struct{}
+
+		// What the relay has been sent. Only run uses these.
+		delivery         roster.Delivery
+		routesVersion    uint64
+		controlAddresses []string
+		relayAddresses   []string
 	}
 )
 
@@ -122,36 +129,56 @@
 	defer s.call.End()
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
-	sent := s.request.RoutesVersion
-	for {
-		update := s.publisher.updateSince(sent)
-		if err := s.call.Send(update); err != nil {
+	s.routesVersion = s.request.RoutesVersion
+	for repeats := true; ; {
+		if err := s.sendUpdates(time.Now(), repeats); err != nil {
 			s.publisher.control.log.WithField("relay", s.request.Relay).WithField("error", err.Error()).Info("relay disconnected")
 			return
 		}
-		if update.Routes != nil {
-			sent = update.Routes.Version
-		}
 		select {
 		case <-s.done:
 			return
 		case <-s.wake:
+			repeats = false
 		case <-ticker.C:
+			repeats = true
+		}
+	}
+}
+
+// sendUpdates sends what the relay hasn't been sent yet. Routes follow the rest, since a
+// large table takes long on a thin link. repeats also sends announcements that change
+// nothing; such an update is sent even if it is empty.
+func (s *relaySubscriber) sendUpdates(now time.Time, repeats bool) error {
+	update := s.update(now, repeats)
+	if repeats || len(update.Servers)+len(update.ControlAddresses)+len(update.RelayAddresses) > 0 {
+		if err := s.call.Send(update); err != nil {
+			return err
 		}
 	}
+	table := s.publisher.control.state.Routes()
+	if table.Version <= s.routesVersion {
+		return nil
+	}
+	table.SourceText = nil
+	s.routesVersion = table.Version
+	return s.call.Send(message.RelayUpdate{Routes: &table})
 }
 
-// updateSince returns an update for a relay, with the route table only if the
-// relay's is older.
-func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
-	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(time.Now()), RelayAddresses: p.relayAddresses()}
-	if table := p.control.state.Routes(); table.Version > version {
-		table.SourceText = nil
-		update.Routes = &table
+// update returns what the relay hasn't been sent yet, apart from routes.
+func (s *relaySubscriber) update(now time.Time, repeats bool) message.RelayUpdate {
+	c := s.publisher.control
+	update := message.RelayUpdate{Servers: s.delivery.Changes(c.serverRegistry.List(now), repeats)}
+	if relays := s.publisher.relayAddresses(); !slices.Equal(relays, s.relayAddresses) {
+		update.RelayAddresses, s.relayAddresses = relays, relays
 	}
-	if replica := p.control.activeReplica(); replica != nil {
+	if replica := c.activeReplica(); replica != nil {
+		var addresses []string
 		for _, member := range replica.Leadership().Status.Members {
-			update.ControlAddresses = append(update.ControlAddresses, member.Address)
+			addresses = append(addresses, member.Address)
+		}
+		if !slices.Equal(addresses, s.controlAddresses) {
+			update.ControlAddresses, s.controlAddresses = addresses, addresses
 		}
 	}
 	return update
--- a/message/message.go
+++ b/message/message.go
@@ -171,14 +171,16 @@
 		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
+		Departures    []roster.Observation     `cbor:"6,keyasint,omitempty"` // backend servers that leave, learned since the previous message
 	}
 
-	// RelayUpdate is an update for a relay. Servers is always the complete list.
+	// RelayUpdate is an update for a relay. The first one of a subscription has
+	// everything but routes that the relay has already; each later one has what is new.
 	RelayUpdate struct {
 		Routes           *routes.Table        `cbor:"1,keyasint,omitempty"` // if newer than the routes sent before
-		Servers          []roster.Observation `cbor:"2,keyasint"`
-		ControlAddresses []string             `cbor:"3,keyasint"` // addresses of the control instances
-		RelayAddresses   []string             `cbor:"4,keyasint"` // addresses of the relays subscribed to this control instance
+		Servers          []roster.Observation `cbor:"2,keyasint,omitempty"`
+		ControlAddresses []string             `cbor:"3,keyasint,omitempty"` // addresses of the control instances; empty for no change
+		RelayAddresses   []string             `cbor:"4,keyasint,omitempty"` // addresses of the relays subscribed to this control instance; empty for no change
 	}
 
 	// OperateResponse is the result of an operator's request.
--- a/relay/control.go
+++ b/relay/control.go
@@ -81,6 +81,9 @@
 
 // applyUpdate applies an update from the control instance at address from.
 func (r *Relay) applyUpdate(now time.Time, from string, update message.RelayUpdate) {
+	if r.roster.Merge(now, from, update.Servers) { // first, so that a server that leaves gets nothing more
+		r.applyServers(now, from)
+	}
 	if update.Routes != nil && r.routeView.Install(*update.Routes) {
 		names := r.routeView.RouteNames()
 		r.placement.Configure(r.routeView.Engines(), names)
@@ -88,11 +91,6 @@
 		r.log.WithField("version", update.Routes.Version).WithField("routes", len(update.Routes.Routes)).
 			WithField("control", from).Info("routes in force")
 	}
-	if r.roster.Merge(now, from, update.Servers) {
-		servers := r.roster.Servers(now)
-		r.placement.SetServers(servers)
-		r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
-	}
 	if _, known := r.routeView.Version(); known {
 		r.routesOnce.Do(r.closeRoutesKnown) // after the servers of the same update
 	}
@@ -105,3 +103,11 @@
 	}
 	r.subscribeToControls(update.ControlAddresses)
 }
+
+// applyServers makes placement use the servers of the roster, which has changed by what
+// the instance at address from has sent.
+func (r *Relay) applyServers(now time.Time, from string) {
+	servers := r.roster.Servers(now)
+	r.placement.SetServers(servers)
+	r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -24,7 +24,8 @@
 )
 
 // peer is another relay. It is sent the load that this relay has placed on each
-// backend server and the cache insertions that it has caused there.
+// backend server, the cache insertions that it has caused there, and which servers
+// leave.
 type peer struct {
 	relay   *Relay
 	address string
@@ -86,6 +87,7 @@
 	var next uint64 // sequence number of the next cache insertion to report
 	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
+	var nextDeparture uint64
 	for {
 		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
 		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads()}
@@ -95,8 +97,9 @@
 		loads.CacheListings = append(listings, loads.CacheListings...)
 		loads.Evidence, nextEvidence = p.relay.quarantine.Changes(time.Now(), nextEvidence)
 		loads.Evidence = append(evidence, loads.Evidence...)
+		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence) > 0 || !lastEmpty {
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -141,7 +144,11 @@
 		if err := call.Receive(&loads); err != nil {
 			return
 		}
-		r.placement.UpdatePeer(time.Now(), loads.Relay, loads.Servers, loads.CacheInserts)
+		now := time.Now()
+		if r.roster.MergeDepartures(now, loads.Departures) {
+			r.applyServers(now, loads.Relay)
+		}
+		r.placement.UpdatePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
--- a/roster/merged.go
+++ b/roster/merged.go
@@ -15,6 +15,22 @@
 		mu             rank.Mutex
 		servers        map[string]*entry    // by ID
 		connectedSince map[string]time.Time // by source, for the sources that are connected
+		departures     []departure          // learned within retention, in that order
+		forgotten      uint64               // number of departures removed from the front
+	}
+
+	// entry is a server in a Roster.
+	entry struct {
+		server    Server
+		firstSeen time.Time // of this start
+		lastSeen  time.Time
+	}
+
+	// departure is an announcement by which a server leaves.
+	departure struct {
+		server    Server
+		at        time.Time // of the announcement
+		learnedAt time.Time
 	}
 )
 
@@ -24,7 +40,7 @@
 	return &Roster{timeout: timeout, mu: rank.New(rank.Fleet), servers: map[string]*entry{}, connectedSince: map[string]time.Time{}}
 }
 
-// Merge merges the complete list of one source, and reports whether the
+// Merge merges a list of one source, a control instance, and reports whether the
 // servers that may receive requests have changed.
 func (r *Roster) Merge(now time.Time, source string, list []Observation) (changed bool) {
 	r.mu.Lock()
@@ -33,21 +49,56 @@
 		r.connectedSince[source] = now
 	}
 	for _, o := range list {
-		changed = r.merge(now.Add(-o.Age), o.Server) || changed
+		changed = r.merge(now, now.Add(-o.Age), o.Server) || changed
+	}
+	return changed
+}
+
+// MergeDepartures merges departures that another relay has learned, and reports whether
+// the servers that may receive requests have changed. Other announcements are ignored:
+// another relay doesn't vouch for servers.
+func (r *Roster) MergeDepartures(now time.Time, list []Observation) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range list {
+		if o.Server.Draining || o.Server.Departed {
+			changed = r.merge(now, now.Add(-o.Age), o.Server) || changed
+		}
 	}
 	return changed
 }
 
+// Departures returns the departures learned lately, from sequence number since on, and
+// the sequence number after them. They are passed on to other relays, since the path from
+// the control instance that was told to some relays may be slow or lost.
+func (r *Roster) Departures(now time.Time, since uint64) (list []Observation, next uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := 0
+	for old < len(r.departures) && now.Sub(r.departures[old].learnedAt) > retention {
+		old++
+	}
+	r.departures = r.departures[old:]
+	r.forgotten += uint64(old)
+	next = r.forgotten + uint64(len(r.departures))
+	for _, d := range r.departures[min(max(since, r.forgotten), next)-r.forgotten:] {
+		list = append(list, Observation{Server: d.server, Age: now.Sub(d.at)})
+	}
+	return list, next
+}
+
 // merge merges one announcement and reports whether the server has changed. The
 // caller must hold r.mu.
-func (r *Roster) merge(lastSeen time.Time, s Server) (changed bool) {
+func (r *Roster) merge(now, lastSeen time.Time, s Server) (changed bool) {
 	old := r.servers[s.ID]
 	if old == nil {
-		r.servers[s.ID] = &entry{server: s, lastSeen: lastSeen}
+		r.servers[s.ID] = &entry{server: s, firstSeen: lastSeen, lastSeen: lastSeen}
+		r.noteDeparture(now, lastSeen, s)
 		return true
 	}
-	if s.Departed && s.StartedAt == 0 && !old.lastSeen.After(lastSeen) {
-		// The control instance didn't know the server that left.
+	if s.Departed && s.StartedAt == 0 && !old.firstSeen.After(lastSeen) {
+		// The control instance didn't know the server that left. Later announcements of
+		// this start, which may arrive late, don't take that back.
 		s = old.server
 		s.Departed = true
 		s.Draining = true
@@ -65,11 +116,25 @@
 	if old.server.Draining && s.StartedAt == old.server.StartedAt {
 		s.Draining = true
 	}
+	if s.StartedAt != old.server.StartedAt {
+		old.firstSeen = lastSeen
+	}
 	changed = !equivalent(s, old.server)
 	old.server = s
+	if changed {
+		r.noteDeparture(now, lastSeen, s)
+	}
 	return changed
 }
 
+// noteDeparture keeps an announcement by which a server leaves for Departures. The caller
+// must hold r.mu.
+func (r *Roster) noteDeparture(now, at time.Time, s Server) {
+	if s.Draining || s.Departed {
+		r.departures = append(r.departures, departure{server: s, at: at, learnedAt: now})
+	}
+}
+
 // MarkDraining records that a server has said in a response that it leaves, and
 // reports whether that is new. It has no effect on a server that has restarted since:
 // only the start that said so leaves.
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -18,10 +18,11 @@
 	// Create it with NewRegistry.
 	Registry struct {
 		mu      rank.Mutex
-		servers map[string]entry // by ID
+		servers map[string]record // by ID
 	}
 
-	entry struct {
+	// record is a server in a Registry.
+	record struct {
 		server   Server
 		lastSeen time.Time
 	}
@@ -29,7 +30,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{mu: rank.New(rank.Fleet), servers: map[string]entry{}}
+	return &Registry{mu: rank.New(rank.Fleet), servers: map[string]record{}}
 }
 
 // Announce records an announcement and reports whether relays must be notified.
@@ -45,7 +46,7 @@
 	if known && old.server.Draining && s.StartedAt == old.server.StartedAt {
 		s.Draining = true // a server doesn't resume until it has restarted
 	}
-	r.servers[s.ID] = entry{server: s, lastSeen: now}
+	r.servers[s.ID] = record{server: s, lastSeen: now}
 	return !known || !equivalent(s, old.server)
 }
 
@@ -67,7 +68,7 @@
 	changed = !old.server.Departed || !known
 	s.Departed = true
 	s.Draining = true
-	r.servers[s.ID] = entry{server: s, lastSeen: now}
+	r.servers[s.ID] = record{server: s, lastSeen: now}
 	return changed
 }
 
