--- a/control/publisher.go
+++ b/control/publisher.go
@@ -8,6 +8,7 @@
 
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
+	"endivedeck.example/roster"
 	"endivedeck.example/wire"
 )
 
@@ -43,6 +44,12 @@
 		request   message.SubscribeRequest
 		wake      chan struct{}
 		done      chan struct{}
+
+		// What the relay has been sent. Only run uses these.
+		delivery         roster.Delivery
+		routesVersion    uint64
+		controlAddresses []string
+		relayAddresses   []string
 	}
 )
 
@@ -128,50 +135,83 @@
 	defer s.call.End()
 	timer := time.NewTimer(updateInterval)
 	defer timer.Stop()
-	sent := s.request.RoutesVersion
-	for {
-		update := s.publisher.updateSince(sent)
-		if err := s.call.Send(update); err != nil {
+	s.routesVersion = s.request.RoutesVersion
+	for repeats := true; ; {
+		current, err := s.sendUpdates(time.Now(), repeats)
+		if err != nil {
 			s.publisher.control.log.WithField("relay", s.request.Relay).WithField("error", err.Error()).Info("relay disconnected")
 			return
 		}
-		if update.Routes != nil {
-			sent = update.Routes.Version
+		if repeats {
+			timer.Reset(updateInterval)
 		}
-		timer.Reset(updateInterval)
-		if !update.Current {
+		if !current {
 			timer.Reset(startupInterval)
 		}
 		select {
 		case <-s.done:
 			return
 		case <-s.wake:
+			repeats = false
 		case <-timer.C:
+			repeats = true
 		}
 	}
 }
 
-// updateSince returns an update for a relay, with the route table only if the
-// relay's is older and this instance's was current at some time since it started: the
-// one that it has from its disk may have keys that were withdrawn.
-func (p *relayPublisher) updateSince(version uint64) message.RelayUpdate {
-	now := time.Now()
-	replica := p.control.activeReplica()
+// sendUpdates sends what the relay hasn't been sent yet, and reports whether this
+// instance's routes were current at some time since it started. It sends no routes
+// before: those from its disk may have keys that were withdrawn. Routes follow the rest,
+// since a large table takes long on a thin link. repeats also sends announcements that
+// change nothing; such an update is sent even if it is empty.
+func (s *relaySubscriber) sendUpdates(now time.Time, repeats bool) (current bool, err error) {
+	c := s.publisher.control
 	var currentAt time.Time
-	if replica != nil {
+	if replica := c.activeReplica(); replica != nil {
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
-	update := message.RelayUpdate{Servers: p.control.serverRegistry.List(now), RelayAddresses: p.relayAddresses(), Time: p.control.duties.time(now)}
+	table := c.state.Routes()
+	newRoutes := !currentAt.IsZero() && table.Version > s.routesVersion
+	update := s.update(now, repeats)
+	if !newRoutes {
+		setCurrency(&update, currentAt)
+	}
+	if repeats || len(update.Servers)+len(update.ControlAddresses)+len(update.RelayAddresses) > 0 {
+		if err := s.call.Send(update); err != nil {
+			return false, err
+		}
+	}
+	if !newRoutes {
+		return update.Current, nil
+	}
+	table.SourceText = nil
+	s.routesVersion = table.Version
+	update = message.RelayUpdate{Routes: &table}
+	setCurrency(&update, currentAt)
+	return true, s.call.Send(update)
+}
+
+// setCurrency says in an update since when this instance's state is known to be current.
+func setCurrency(update *message.RelayUpdate, currentAt time.Time) {
 	if !currentAt.IsZero() {
 		update.Current, update.Age = true, time.Since(currentAt)
 	}
-	if table := p.control.state.Routes(); update.Current && table.Version > version {
-		table.SourceText = nil
-		update.Routes = &table
+}
+
+// update returns what the relay hasn't been sent yet, apart from routes.
+func (s *relaySubscriber) update(now time.Time, repeats bool) message.RelayUpdate {
+	c := s.publisher.control
+	update := message.RelayUpdate{Servers: s.delivery.Changes(c.serverRegistry.List(now), repeats), Time: c.duties.time(now)}
+	if relays := s.publisher.relayAddresses(); !slices.Equal(relays, s.relayAddresses) {
+		update.RelayAddresses, s.relayAddresses = relays, relays
 	}
-	if replica != nil {
+	if replica := c.activeReplica(); replica != nil {
+		var addresses []string
 		for _, member := range replica.Leadership().Status.Members {
-			update.ControlAddresses = append(update.ControlAddresses, member.Address)
+			addresses = append(addresses, member.Address)
+		}
+		if !slices.Equal(addresses, s.controlAddresses) {
+			update.ControlAddresses, s.controlAddresses = addresses, addresses
 		}
 	}
 	return update
--- a/message/message.go
+++ b/message/message.go
@@ -180,30 +180,32 @@
 		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
+		Departures    []roster.Observation     `cbor:"6,keyasint,omitempty"` // backend servers that leave, learned since the previous message
 	}
 
-	// RelayUpdate is an update for a relay. Servers is always the complete list.
+	// RelayUpdate is an update for a relay. The first one of a subscription has
+	// everything but routes that the relay has already; each later one has what is new.
 	RelayUpdate struct {
 		Routes           *routes.Table        `cbor:"1,keyasint,omitempty"` // if newer than the routes sent before
-		Servers          []roster.Observation `cbor:"2,keyasint"`
-		ControlAddresses []string             `cbor:"3,keyasint"`           // addresses of the control instances
-		RelayAddresses   []string             `cbor:"4,keyasint"`           // addresses of the relays subscribed to this control instance
-		Current          bool                 `cbor:"5,keyasint"`           // the control instance knows since when its state was current
-		Age              time.Duration        `cbor:"6,keyasint"`           // since then
+		Servers          []roster.Observation `cbor:"2,keyasint,omitempty"`
+		ControlAddresses []string             `cbor:"3,keyasint,omitempty"` // addresses of the control instances; empty for no change
+		RelayAddresses   []string             `cbor:"4,keyasint,omitempty"` // addresses of the relays subscribed to this control instance; empty for no change
+		Current          bool                 `cbor:"5,keyasint,omitempty"` // the control instance knows since when its state was current
+		Age              time.Duration        `cbor:"6,keyasint,omitempty"` // since then
 		Time             int64                `cbor:"7,keyasint,omitempty"` // of day at the control instance, Unix milliseconds; only where usage is reported
 	}
 
 	// UsageHello opens a stream of usage reports.
 	UsageHello struct {
 		Relay       string `cbor:"1,keyasint"`
-		Incarnation string `cbor:"2,keyasint"` // unique for each start of the relay
+		Incarnation string `cbor:"2,keyasint,omitempty"` // unique for each start of the relay
 	}
 
 	// UsageReport has the requests that backend servers began for a relay, as totals of
 	// the teams and windows that have changed since the report before.
 	UsageReport struct {
-		Time     int64          `cbor:"1,keyasint"` // of day at the relay, Unix milliseconds
-		Complete int64          `cbor:"2,keyasint"` // number of the first window whose counts may still grow
+		Time     int64          `cbor:"1,keyasint"`           // of day at the relay, Unix milliseconds
+		Complete int64          `cbor:"2,keyasint,omitempty"` // number of the first window whose counts may still grow
 		Windows  []meter.Window `cbor:"3,keyasint,omitempty"`
 	}
 
