Wait for relays before a window is closed by an instance that has just started

Cause: in a test with no majority for 31 s, the first leader closed overdue windows before both relays had reached it: 100 of 150 requests. Change: an instance gives relays three tenths of the time until reports are late to reach it, and closes no window early while it hears no relay or one was lost in the window before.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -35,6 +35,7 @@
 		controls   map[string]*instance
 		holders    []*leaseHolder
 		rolePolicy string
+		duties     DutySettings
 	}
 
 	instance struct {
@@ -102,7 +103,7 @@
 	process.Instance = name
 	workers := pool.New(64, 1024)
 	host := &kernel.Host{Process: process, Log: discardLogger(), Metrics: metrics.NewSet(), Pool: workers}
-	c, err := New(host, Settings{Listen: name, Founders: cl.founders, BootstrapMode: bootstrapMode, SnapshotEntries: 100, RolePolicy: cl.rolePolicy}, cl.network.Transport(name))
+	c, err := New(host, Settings{Listen: name, Founders: cl.founders, BootstrapMode: bootstrapMode, SnapshotEntries: 100, RolePolicy: cl.rolePolicy, Duties: cl.duties}, cl.network.Transport(name))
 	if err != nil {
 		cl.t.Fatal(err)
 	}
--- a/control/duties.go
+++ b/control/duties.go
@@ -92,20 +92,30 @@
 	}
 )
 
-// newDutyManager returns the manager of the duties in the settings, or nil if there are none.
-func newDutyManager(c *Control) (*dutyManager, error) {
-	s := c.settings.Duties
-	if s.Address == "" || len(s.Names) == 0 {
-		return nil, nil
+// check returns the first error in the settings. Without an address there are no duties.
+func (s *DutySettings) check() error {
+	if s.Address == "" {
+		return nil
 	}
 	for _, name := range s.Names {
 		if name != DutyUsage {
-			return nil, malformedDuty("names", "want %s, got %q", DutyUsage, name)
+			return malformedDuty("names", "want %s, got %q", DutyUsage, name)
 		}
 	}
-	if s.Lease <= 0 {
-		return nil, malformedDuty("lease", "the field is required")
+	switch {
+	case s.Lease <= 0:
+		return malformedDuty("lease", "the field is required")
+	case slices.Contains(s.Names, DutyUsage) && s.Usage.Window <= 0:
+		return malformedDuty("usage.window", "the field is required")
+	case slices.Contains(s.Names, DutyUsage) && s.Usage.Late <= 0:
+		return malformedDuty("usage.late", "the field is required")
 	}
+	_, err := s.provider()
+	return err
+}
+
+// provider returns the API of the provider.
+func (s *DutySettings) provider() (Provider, error) {
 	factory, err := Providers.Lookup(s.Provider)
 	if err != nil {
 		return nil, malformedDuty("provider", "%s", fault.FromError(err).Message)
@@ -114,15 +124,25 @@
 	if err != nil {
 		return nil, malformedDuty("address", "%s", fault.FromError(err).Message)
 	}
+	return provider, nil
+}
+
+// newDutyManager returns the manager of the duties in the settings, or nil if there are none.
+func newDutyManager(c *Control) (*dutyManager, error) {
+	s := c.settings.Duties
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	if s.Address == "" || len(s.Names) == 0 {
+		return nil, nil
+	}
+	provider, err := s.provider()
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	m := &dutyManager{control: c, provider: provider, timing: tenure.DefaultTiming(s.Lease.Std()), process: rand.Text(), clock: clock.New(now)}
 	if slices.Contains(s.Names, DutyUsage) {
-		if s.Usage.Window <= 0 {
-			return nil, malformedDuty("usage.window", "the field is required")
-		}
-		if s.Usage.Late <= 0 {
-			return nil, malformedDuty("usage.late", "the field is required")
-		}
 		m.usage = newUsageReporter(m, ledger.Schedule{Length: s.Usage.Window.Std(), Late: s.Usage.Late.Std()}, s.CallRate)
 	}
 	return m, nil
--- a/internal/usage/ledger/collector.go
+++ b/internal/usage/ledger/collector.go
@@ -74,24 +74,39 @@
 }
 
 // Judge decides whether a window can be closed at a time of day: once all relays that were
-// heard since it began have completed it, or when it is due.
+// heard since the window before it began have completed it, or when it is due and relays
+// have had the time to reach an instance that has started meanwhile. One that hears no
+// relay can't tell whether there is usage.
 func (c *Collector) Judge(at time.Time, number int64) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var v Verdict
 	start := meter.Start(number, c.schedule.Length)
+	heard := 0
 	for from, s := range c.sources {
-		if s.complete <= number && !s.heard.Before(start) {
+		if s.heard.Before(start.Add(-c.schedule.Length)) {
+			continue
+		}
+		heard++
+		if s.complete <= number {
 			v.Missing = append(v.Missing, from.Relay)
 		}
 	}
 	slices.Sort(v.Missing)
 	settled := c.schedule.Complete(at) > number
-	knowsAll := len(v.Missing) == 0 && !c.start.After(start)
-	v.Closable = settled && knowsAll || !at.Before(c.schedule.Due(number))
+	knowsAll := heard > 0 && len(v.Missing) == 0 && !c.start.After(start)
+	due := later(c.schedule.Due(number), c.start.Add(c.schedule.Reconnect()))
+	v.Closable = settled && knowsAll || !at.Before(due)
 	return v
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Sum returns the counts of a window over all relays.
 func (c *Collector) Sum(number int64) meter.Window {
 	c.mu.Lock()
@@ -110,7 +125,7 @@
 func (c *Collector) Drop(before int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	start := meter.Start(before, c.schedule.Length)
+	start := meter.Start(before-1, c.schedule.Length)
 	for from, s := range c.sources {
 		for number := range s.windows {
 			if number < before {
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -91,6 +91,9 @@
 // leaves most of the time until the report is late for a change of the holder.
 func (s Schedule) Due(number int64) time.Time { return s.end(number).Add(s.Late * 4 / 10) }
 
+// Reconnect returns the time in which relays reach a control instance that has started.
+func (s Schedule) Reconnect() time.Duration { return s.Late * 3 / 10 }
+
 // LateAt returns the time at which the report of a window is late.
 func (s Schedule) LateAt(number int64) time.Time { return s.end(number).Add(s.Late) }
 
