--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -46,6 +46,7 @@
 		update message.RelayUpdate // sent at the start of each subscription
 		hold   chan struct{}       // if not nil, subscriptions get nothing until it is closed
 		calls  []*wire.ServerCall  // open subscriptions
+		usage  map[string]uint64   // requests reported, by team
 	}
 
 	// backendServer is a backend server that follows a script: one step for each
@@ -88,7 +89,7 @@
 // newTestbedFor is newTestbed with the properties of the service.
 func newTestbedFor(t *testing.T, service routes.Service, list []routes.Route, servers ...*backendServer) *testbed {
 	t.Helper()
-	b := &testbed{t: t, servers: servers, workers: pool.New(testbedWorkers, testbedWorkers)}
+	b := &testbed{t: t, servers: servers, usage: map[string]uint64{}, workers: pool.New(testbedWorkers, testbedWorkers)}
 	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{service, {Name: "small"}}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
 	b.update.RelayAddresses = []string{"relay", "second"}
 	for _, s := range servers {
@@ -102,7 +103,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	control := wire.NewServer(listener, b.workers, map[string]wire.Handler{message.MethodUpdates: wire.HandlerFunc(b.sendUpdate)})
+	control := wire.NewServer(listener, b.workers, map[string]wire.Handler{
+		message.MethodUpdates: wire.HandlerFunc(b.sendUpdate), message.MethodUsage: wire.HandlerFunc(b.receiveUsage),
+	})
 	t.Cleanup(control.Close)
 	b.relay = b.startRelay("relay", "near")
 	return b
