--- a/command/change.go
+++ b/command/change.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -170,8 +171,38 @@
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%v\n", b.Name, b.FailureDomain, serves, b.Role, b.Draining)
 	}
 	_ = table.Flush()
+	writeDuties(s.out, status)
 	if len(status.Changes) > 0 {
 		fmt.Fprintln(s.out)
 		writeChanges(s.out, status.Changes)
 	}
 }
+
+// writeDuties writes the duties towards the provider, the usage windows that are open or not
+// known to be reported, and the teams with the number of their keys.
+func writeDuties(out io.Writer, status *message.Status) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(status.Duties) > 0 {
+		fmt.Fprintln(table, "\nDUTY\tHOLDER\tFENCING TOKEN\tLAST SUCCESS")
+	}
+	for _, d := range status.Duties {
+		last := "none since this leader began"
+		if d.LastSuccess > 0 {
+			last = d.LastSuccess.Std().String() + " ago"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\n", d.Name, d.Holder, d.Token, last)
+	}
+	if len(status.UsageWindows) > 0 {
+		fmt.Fprintln(table, "\nUSAGE WINDOW\tFROM\tSTATE\tLATE\tTEAMS\tREQUESTS\tRELAYS MISSING")
+	}
+	for _, w := range status.UsageWindows {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%v\t%d\t%d\t%d\n", w.Number, w.Start.Format(time.RFC3339), w.State, w.Late, w.Teams, w.Requests, w.Missing)
+	}
+	if len(status.Teams) > 0 {
+		fmt.Fprintln(table, "\nTEAM\tKEYS")
+	}
+	for _, team := range status.Teams {
+		fmt.Fprintf(table, "%s\t%d\n", team.Name, team.Keys)
+	}
+	_ = table.Flush()
+}
--- a/control/api.go
+++ b/control/api.go
@@ -39,6 +39,11 @@
 	return *response.Routes, nil
 }
 
+// Status returns the state of the system as known to its leader.
+func (a *API) Status(ctx context.Context) (message.OperateResponse, error) {
+	return a.control.Operate(ctx, message.OperateRequest{Kind: OperateStatus})
+}
+
 // AnnounceServer records a backend server's announcement. An update is sent to
 // the relays at once if the announcement changes anything that they act on.
 func (a *API) AnnounceServer(s roster.Server) {
--- a/control/duties.go
+++ b/control/duties.go
@@ -92,6 +92,9 @@
 	}
 )
 
+// Check implements an interface of package kernel.
+func (s *Settings) Check() error { return s.Duties.check() }
+
 // check returns the first error in the settings. Without an address there are no duties.
 func (s *DutySettings) check() error {
 	if s.Address == "" {
--- a/kernel/section.go
+++ b/kernel/section.go
@@ -6,6 +6,12 @@
 	"endivedeck.example/settings"
 )
 
+// checkedSettings is implemented by settings with conditions that tags can't express.
+type checkedSettings interface {
+	// Check returns the first error in the settings, with the name of the field.
+	Check() error
+}
+
 var allowedSections = map[string][]string{} // by role
 
 // AllowSection permits a section in the settings of a role. It must be called
@@ -16,12 +22,17 @@
 
 // RegisterRole registers a role and the check of its settings. The settings are
 // decoded from the section with the name of the role into the value that
-// defaults returns.
+// defaults returns. If they have a method Check, that is called too.
 func RegisterRole[S any](name string, defaults func() S, build func(*Host, S) (Role, error)) {
 	read := func(host *Host) (S, error) {
 		section := defaults()
-		err := host.Section(name, &section)
-		return section, err
+		if err := host.Section(name, &section); err != nil {
+			return section, err
+		}
+		if checked, ok := any(&section).(checkedSettings); ok {
+			return section, checked.Check()
+		}
+		return section, nil
 	}
 	Roles.Register(name, func(host *Host) (Role, error) {
 		section, err := read(host)
