Name the memory of a process's machine in its settings

A process couldn't tell how much memory it may use: the provider's settings say it (limits.memoryMb), and nothing read it. The setting "memory" carries it, with a default of 1,024 MB.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -24,6 +24,10 @@
 	"endivedeck.example/settings"
 )
 
+// DefaultMemory is the memory that a process may use, in MB, unless its settings
+// say so.
+const DefaultMemory = 1024
+
 const (
 	defaultWorkers     = 256
 	defaultStopTimeout = 30 * time.Second
@@ -83,7 +87,8 @@
 		MetricsListen string                      `json:"metrics"` // address of the metrics server; empty for none
 		Workers       int                         `json:"workers" range:"1..65536"`
 		Backlog       int                         `json:"backlog" range:"0..1048576"`
-		MaxCores      int                         `json:"cores" range:"0..1024"` // maximum number of cores used at the same time; 0 for all
+		MaxCores      int                         `json:"cores" range:"0..1024"`     // maximum number of cores used at the same time; 0 for all
+		MaxMemory     int                         `json:"memory" range:"0..1048576"` // memory that the process may use, in MB; 0 for DefaultMemory
 		StopTimeout   settings.Duration           `json:"stopTime" range:"100ms..1h"`
 		LogLevel      string                      `json:"logLevel"`
 		Sections      map[string]settings.Section `json:"*"`
