--- a/cmd/endivedeck/process_test.go
+++ b/cmd/endivedeck/process_test.go
@@ -20,6 +20,7 @@
 	"endivedeck.example/demo"
 	"endivedeck.example/deployment"
 	"endivedeck.example/fault"
+	"endivedeck.example/gate"
 	"endivedeck.example/interval"
 	"endivedeck.example/keys"
 	"endivedeck.example/message"
@@ -58,6 +59,9 @@
 		proxied           bool              // connections to the sidecars of engines, and from them to the engines, go through proxies
 		udpProxies        []*udpProxy
 		tcpProxies        []*tcpProxy
+		memory            int         // MB that each process may use; 0 for the default
+		limits            gate.Limits // of the entries, if memory is set
+		sidecarAddress    string      // of the latest engine
 	}
 
 	// process is one process of the built binary.
@@ -148,11 +152,15 @@
 }
 
 func (s *system) startEntry(i int) {
-	s.startRole("entry", fmt.Sprintf("entry-%d", i+1), i, map[string]any{
+	section := map[string]any{
 		"listen":    s.entryAddresses[i],
 		"control":   s.controlAddresses(),
 		"leaveTime": "500ms",
-	})
+	}
+	if s.memory > 0 {
+		section["limits"] = s.limits
+	}
+	s.startRole("entry", fmt.Sprintf("entry-%d", i+1), i, section)
 }
 
 func (s *system) startEngine(i int) {
@@ -160,6 +168,7 @@
 	engine := deployment.FreeAddress("tcp")
 	s.startProcess(name+"-engine", "standin", "-listen", engine, "-step", s.stepTime, "-piece-tokens", "16", "-load-time", "300ms", "-fencing", "-cross", "0.1", "engine")
 	listen := deployment.FreeAddress("udp")
+	s.sidecarAddress = listen
 	s.startRole("sidecar", name, i, map[string]any{
 		"listen":    listen,
 		"advertise": s.proxyUDP(listen),
@@ -205,6 +214,7 @@
 	}
 	text, err := json.MarshalIndent(map[string]any{
 		"metrics":       metrics,
+		"memory":        s.memory,
 		"role":          role,
 		"instance":      instance,
 		"region":        "mekong-south",
