Charge what is held for callers to one budget of the process

Cause: heads, bodies and answers were limited one by one, all of them together not at all. A hundred bodies of legal size that stop a byte before their end took over 500 MB of a process that may use 128, heads of very many short lines 150 MB, answers that nobody reads 158 MB, and with idle connections at the limit of connections nobody else was answered.

Change: internal/callers/allowance divides a share of the memory that the settings allow. The listener charges connections, heads by their lines, bodies and a relay's answers before they are allocated; when the budget is full, the connection gives way that has kept the most memory waiting for its caller. At the limit of connections, such ones are closed. Metrics and a rate-limited log line say who met which limit. Three quarters of the memory is the soft limit of the runtime.

--- a/command/serve.go
+++ b/command/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -69,6 +70,7 @@
 	if process.MaxCores > 0 {
 		runtime.GOMAXPROCS(process.MaxCores)
 	}
+	debug.SetMemoryLimit(process.SoftMemoryLimit())
 	if err := redirectLibraryLog(process, logOutput); err != nil {
 		return reportError(err)
 	}
--- a/control/http.go
+++ b/control/http.go
@@ -41,7 +41,7 @@
 	}
 	mux := http.NewServeMux()
 	register(mux, &API{control: c})
-	server, err := gate.New(c.settings.OperatorListen, mux, c.settings.Limits, nil)
+	server, err := gate.NewWithin(c.host.Callers, c.settings.OperatorListen, mux, c.settings.Limits, nil)
 	if err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -144,7 +144,7 @@
 		}
 		frontend(mux, e.executor)
 	}
-	server, err := gate.New(e.settings.Listen, mux, e.settings.Limits, nil)
+	server, err := gate.NewWithin(e.host.Callers, e.settings.Listen, mux, e.settings.Limits, nil)
 	if err != nil {
 		return err
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,16 +11,24 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/callers/allowance"
 	"endivedeck.example/interval"
 	"endivedeck.example/settings"
 )
 
+const (
+	defaultMemory     = 1 << 30 // bytes
+	minBodyGrowth     = 4 << 10
+	refusedRetryAfter = "1" // seconds
+)
+
 type (
 	// Limits are the limits that a Server enforces.
 	Limits struct {
@@ -43,6 +51,7 @@
 	Server struct {
 		httpServer *http.Server
 		listener   *listener
+		limits     Limits
 		draining   atomic.Bool
 		answered   atomic.Int64
 		aborted    atomic.Int64
@@ -56,12 +65,13 @@
 		server *Server
 	}
 
-	// deadlineBody is a request body that clears the connection's read
-	// deadline when it has been read to its end. The deadline would otherwise
-	// cancel the request while it is being answered.
-	deadlineBody struct {
+	// callerBody is a request body that clears the connection's read deadline when
+	// it has been read to its end. The deadline would otherwise cancel the request
+	// while it is being answered. While it is read, the process waits for the caller.
+	callerBody struct {
 		io.ReadCloser
 		control *http.ResponseController
+		conn    *conn
 	}
 )
 
@@ -77,9 +87,18 @@
 	}
 }
 
-// New listens on address and serves handler there, with TLS if tlsConfig is
-// not nil.
+// New is NewWithin with a budget of its own.
 func New(address string, handler http.Handler, limits Limits, tlsConfig *tls.Config) (*Server, error) {
+	return NewWithin(nil, address, handler, limits, tlsConfig)
+}
+
+// NewWithin listens on address and serves handler there, with TLS if tlsConfig is not
+// nil. What it holds for callers is charged to budget; if that is nil, to one of its own
+// for a process of the default size.
+func NewWithin(budget *allowance.Budget, address string, handler http.Handler, limits Limits, tlsConfig *tls.Config) (*Server, error) {
+	if budget == nil {
+		budget = allowance.New(allowance.For(defaultMemory), nil)
+	}
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // sockets of Multipath TCP take no filter
 	inner, err := config.Listen(context.Background(), "tcp", address)
@@ -87,15 +106,17 @@
 		return nil, fault.New(fault.Unavailable, fault.NotRun, "listening on %s: %v", address, err)
 	}
 	s := &Server{
-		listener: newListener(inner.(*net.TCPListener), limits.MaxConns),
+		listener: newListener(inner.(*net.TCPListener), limits.MaxConns, budget),
+		limits:   limits,
 		served:   make(chan struct{}),
 	}
 	s.httpServer = &http.Server{
-		Handler:           s.withLimits(handler, limits),
+		Handler:           s.withLimits(handler),
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
 		IdleTimeout:       limits.IdleTimeout.Std(),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnState:         trackPhase,
+		ConnContext:       withConn,
 	}
 	go s.run(tlsConfig)
 	return s, nil
@@ -181,12 +202,9 @@
 
 // trackPhase tells a connection whether a request is being answered on it.
 func trackPhase(c net.Conn, state http.ConnState) {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
-	}
-	tracked, ok := c.(*conn)
+	tracked := trackedConn(c)
 	switch {
-	case !ok:
+	case tracked == nil:
 	case state == http.StateActive:
 		tracked.setPhase(active)
 	case state == http.StateIdle:
@@ -194,40 +212,117 @@
 	}
 }
 
-// withLimits limits the size of a request's body and the time to read it.
-func (s *Server) withLimits(handler http.Handler, limits Limits) http.Handler {
+// withConn lets the handlers of a connection's requests find it.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, trackedConn(c))
+}
+
+func trackedConn(c net.Conn) *conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	tracked, _ := c.(*conn)
+	return tracked
+}
+
+// withLimits limits the size of a request's body and the time to read it, and charges
+// its head.
+func (s *Server) withLimits(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c != nil && !c.chargeHead(r) {
+			refuse(w, http.StatusServiceUnavailable)
+			return
+		}
+		if most := s.listener.maxHeadBytes.Load(); most > 0 && headBytes(r) > most {
+			refuse(w, http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes)
 		if r.ContentLength != 0 {
 			control := http.NewResponseController(w)
-			_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
-			r.Body = &deadlineBody{ReadCloser: r.Body, control: control}
+			_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout.Std()))
+			r.Body = &callerBody{ReadCloser: r.Body, control: control, conn: c}
 		}
 		handler.ServeHTTP(&closingWriter{ResponseWriter: w, server: s}, r)
+		if c != nil {
+			c.account.Await(time.Now()) // the HTTP server may read the rest of the body
+		}
 		if s.draining.Load() {
 			s.answered.Add(1)
 		}
 	})
 }
 
-func (b *deadlineBody) Read(p []byte) (int, error) {
+// refuse answers a request that isn't passed to a handler, and so hasn't run, and closes
+// the connection.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", refusedRetryAfter)
+	}
+	w.WriteHeader(status)
+}
+
+func (b *callerBody) Read(p []byte) (int, error) {
+	if b.conn != nil {
+		b.conn.account.Await(time.Now())
+	}
 	n, err := b.ReadCloser.Read(p)
+	if b.conn != nil {
+		b.conn.account.Rest(time.Now())
+	}
 	if err != nil {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
 
-// ReadBody reads a request's body. It returns fault.TooLarge if the body
-// exceeds the limit, and fault.Malformed if it is incomplete.
+// Hold charges n bytes to the caller of a request, in addition to its head and body, until
+// the request ends. ctx is that of the request, or made from it. If the budget has no room
+// for them it returns false; what the caller would get must not be allocated.
+func Hold(ctx context.Context, n int64) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c == nil || c.hold(n)
+}
+
+// ReadBody reads a request's body. It returns fault.TooLarge if the body exceeds the
+// limit, fault.Overloaded if the process has no room for it, and fault.Malformed if it
+// is incomplete. Trailers are dropped.
 func ReadBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.TooLarge, fault.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
-	case err != nil:
-		return nil, fault.New(fault.Malformed, fault.NotRun, "reading the request body: %v", err)
+	var body []byte
+	defer dropTrailer(r)
+	for {
+		if len(body) == cap(body) {
+			size := max(2*cap(body), minBodyGrowth)
+			if r.ContentLength > 0 {
+				size = min(size, int(min(r.ContentLength, math.MaxInt-1))+1)
+			}
+			size = max(size, cap(body)+1)
+			if !Hold(r.Context(), int64(size-cap(body))) {
+				return nil, errNoRoom()
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		var tooLarge *http.MaxBytesError
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case errors.As(err, &tooLarge):
+			return nil, fault.New(fault.TooLarge, fault.NotRun, "the body is larger than %d bytes", tooLarge.Limit)
+		case err != nil && gaveWay(r.Context()):
+			return nil, errNoRoom()
+		case err != nil:
+			return nil, fault.New(fault.Malformed, fault.NotRun, "reading the request body: %v", err)
+		}
 	}
-	return body, nil
 }
+
+func errNoRoom() error {
+	return fault.New(fault.Overloaded, fault.NotRun, "the process has no room for the body of the request")
+}
+
+// dropTrailer forgets the trailers of a request, which nobody uses.
+func dropTrailer(r *http.Request) { r.Trailer = nil }
--- a/gate/listener.go
+++ b/gate/listener.go
@@ -1,9 +1,13 @@
 package gate
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -11,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"endivedeck.example/internal/callers/allowance"
 	"endivedeck.example/rank"
 )
 
@@ -18,6 +23,17 @@
 	quietTime  = 200 * time.Millisecond // for which a connection must be silent before a stopping server closes it
 	headTime   = time.Second            // longest pause in the head of a request at a stopping server
 	lingerTime = 200 * time.Millisecond // for a client to close its side of a connection
+
+	slotShare      = 64                    // at the limit of connections, one of so many gives way at a time
+	slotRetry      = 50 * time.Millisecond // after which more connections may give way
+	writePartBytes = 64 << 10              // after which progress of a write is noted
+)
+
+var (
+	longAgo = time.Unix(1, 0) // a deadline that has passed
+
+	// errNoMemory is an error of net.Conn, after which the HTTP server answers nothing.
+	errNoMemory = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("no room for what the caller sends")}
 )
 
 // Phases of a connection.
@@ -39,12 +55,20 @@
 type (
 	phase int
 
+	// connKey is the key of the connection in the context of a request.
+	connKey struct{}
+
 	// listener limits and tracks the open connections.
 	listener struct {
 		*net.TCPListener
 		slots chan struct{} // holds an element for each open connection and for a pending Accept
 		gone  chan struct{} // closed once a stopping listener and all of its connections are closed
 
+		budget       *allowance.Budget
+		maxHeadBytes atomic.Int64 // of a request; 0 for no limit beside that of net/http
+		headTime     atomic.Int64 // longest time from the first byte of a head to its end, in ns; 0 for none beside that of net/http
+		idleTime     atomic.Int64 // longest time between two requests, in ns; 0 for none beside that of net/http
+
 		quietTime time.Duration // longer in a test
 		crossed   atomic.Int64  // see Report
 
@@ -59,17 +83,24 @@
 	conn struct {
 		*net.TCPConn
 		listener *listener
+		account  *allowance.Account
 
 		mu       rank.Mutex
 		phase    phase
+		held     int64     // bytes charged to account
+		head     int64     // of held: for the head of a request that is being read
+		begun    time.Time // when the first byte of that head was received
+		writing  bool
+		leaving  bool      // the connection must give way to others
 		deadline time.Time // set by the HTTP server
 		last     time.Time // when bytes were last received or the last request ended
 		stopped  time.Time // when the server began to stop
 	}
 )
 
-func newListener(inner *net.TCPListener, maxConns int) *listener {
+func newListener(inner *net.TCPListener, maxConns int, budget *allowance.Budget) *listener {
 	return &listener{
+		budget:      budget,
 		TCPListener: inner,
 		slots:       make(chan struct{}, maxConns),
 		gone:        make(chan struct{}),
@@ -80,10 +111,10 @@
 }
 
 // Accept waits until the number of open connections is below the limit and then
-// accepts one. At a stop it first accepts the connections that the kernel has
+// accepts one. At the limit, connections that wait for their callers give way. At a stop it first accepts the connections that the kernel has
 // completed, whose requests may have been sent already, and then fails.
 func (l *listener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
+	l.takeSlot()
 	inner, err := l.AcceptTCP()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		inner, err = l.acceptCompleted()
@@ -92,7 +123,10 @@
 		<-l.slots
 		return nil, err
 	}
-	c := &conn{TCPConn: inner, listener: l, mu: rank.New(rank.Connection), last: time.Now()}
+	now := time.Now()
+	c := &conn{TCPConn: inner, listener: l, mu: rank.New(rank.Connection), last: now}
+	c.account = l.budget.Open(remoteIP(inner), c)
+	c.account.Await(now)
 	l.mu.Lock()
 	l.conns[c] = true
 	c.stopped = l.stopped
@@ -100,6 +134,42 @@
 	return c, nil
 }
 
+// takeSlot waits until there is a slot for another connection.
+func (l *listener) takeSlot() {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return
+		default:
+		}
+		for _, holder := range l.budget.Slowest(time.Now(), l.accounts(), cap(l.slots)/slotShare+1) {
+			holder.GiveWay()
+		}
+		wait := time.NewTimer(slotRetry)
+		select {
+		case l.slots <- struct{}{}:
+			wait.Stop()
+			return
+		case <-wait.C:
+		}
+	}
+}
+
+func (l *listener) accounts() []*allowance.Account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*allowance.Account, 0, len(l.conns))
+	for c := range l.conns {
+		list = append(list, c.account)
+	}
+	return list
+}
+
+func remoteIP(c net.Conn) netip.Addr {
+	address, _ := netip.ParseAddrPort(c.RemoteAddr().String())
+	return address.Addr()
+}
+
 // acceptCompleted accepts a connection that the kernel has completed. It returns
 // net.ErrClosed if there is none. Unlike AcceptTCP, it looks for one whatever the
 // deadline is.
@@ -209,7 +279,13 @@
 // Read implements net.Conn. When a deadline has passed while the connection waits
 // for a request, it reads one that has arrived by now. If there is none, it closes
 // the connection.
+//
+// The memory that the connection holds, and what a head will take, is charged before
+// the HTTP server gets its bytes.
 func (c *conn) Read(p []byte) (int, error) {
+	if !c.chargeConnection() {
+		return 0, errNoMemory
+	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.startClosing() {
 		n, err = c.readReceived(p)
@@ -217,13 +293,121 @@
 			c.end()
 			return 0, io.EOF
 		}
+		c.stay()
 	}
-	if n > 0 {
-		c.received()
+	if n > 0 && !c.received(p[:n]) {
+		return 0, errNoMemory
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It notes how the caller takes what is written.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(true)
+	c.account.Await(time.Now())
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePartBytes)]
+		n, err := c.TCPConn.Write(part)
+		written += n
+		c.account.Moved(time.Now(), n)
+		if err != nil || written == len(p) {
+			c.account.Rest(time.Now())
+			c.setWriting(false)
+			return written, err
+		}
+	}
+}
+
+// GiveWay implements allowance.Holder. Reading from the connection fails from now on, and
+// so does writing if the caller isn't taking what is being written.
+func (c *conn) GiveWay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	_ = c.applyDeadline() // fails only if the connection is closed
+	if c.writing {
+		_ = c.TCPConn.SetWriteDeadline(longAgo) // fails only if the connection is closed
+	}
+}
+
+// stay takes GiveWay back: a request has arrived after all.
+func (c *conn) stay() {
+	c.account.Stay()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = false
+}
+
+func (c *conn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+}
+
+// gaveWay reports whether the connection of a request must give way to others.
+func gaveWay(ctx context.Context) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// hold charges n more bytes to the connection until the request has been answered.
+func (c *conn) hold(n int64) bool {
+	if !c.account.Acquire(n) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held += n
+	return true
+}
+
+// chargeConnection charges the connection itself, once.
+func (c *conn) chargeConnection() bool {
+	c.mu.Lock()
+	charged := c.held > 0
+	c.mu.Unlock()
+	return charged || c.hold(allowance.ConnectionBytes)
+}
+
+// chargeHead charges the head of a request, in place of what was charged while it was
+// read.
+func (c *conn) chargeHead(r *http.Request) bool {
+	lines := int64(len(r.Header))
+	for _, values := range r.Header {
+		lines += int64(len(values))
+	}
+	cost := allowance.LineBytes*lines + allowance.TextFactor*headBytes(r)
+	c.mu.Lock()
+	more := cost - c.head
+	c.head = 0
+	if more <= 0 {
+		c.held += more
+	}
+	c.mu.Unlock()
+	if more <= 0 {
+		c.account.Shrink(-more)
+		return true
+	}
+	return c.hold(more)
+}
+
+// headBytes returns about the size of the head of a request.
+func headBytes(r *http.Request) int64 {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + 12
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	return int64(size)
+}
+
 // startClosing reports whether the connection waits for a request, and then removes
 // its deadline, with which reading would fail.
 func (c *conn) startClosing() bool {
@@ -266,8 +450,8 @@
 // it. Closing it with unread bytes would reset it, and the client could lose the
 // last response.
 func (c *conn) end() {
-	if c.CloseWrite() != nil {
-		return // closed already
+	if c.CloseWrite() != nil || c.isLeaving() {
+		return // closed already, or nobody waits for it
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed
 	n, _ := io.Copy(io.Discard, c.TCPConn)                    // fails only if the client doesn't close the connection
@@ -279,6 +463,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.TCPConn.Close()
+	c.account.Close()
 	if c.listener.forget(c) {
 		<-c.listener.slots
 	}
@@ -298,24 +483,49 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// received notes that bytes have arrived.
-func (c *conn) received() {
+// received notes that bytes have arrived, and charges them if they belong to the head of
+// a request. It reports whether there is room for them.
+func (c *conn) received(p []byte) bool {
+	now := time.Now()
+	c.account.Moved(now, len(p))
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = time.Now()
-	if c.phase != active {
-		c.phase = receiving
-		_ = c.applyDeadline() // fails only if the connection is closed
+	c.last = now
+	if c.phase == active {
+		c.mu.Unlock()
+		return true
+	}
+	if c.phase != receiving {
+		c.begun = now
+		c.account.Restart(now)
 	}
+	c.phase = receiving
+	cost := int64(allowance.LineBytes*bytes.Count(p, []byte("\n")) + allowance.TextFactor*len(p))
+	c.head += cost
+	_ = c.applyDeadline() // fails only if the connection is closed
+	c.mu.Unlock()
+	return c.hold(cost)
 }
 
 // setPhase notes that a request has been received or answered.
 func (c *conn) setPhase(p phase) {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.phase = p
-	c.last = time.Now()
+	c.last = now
+	extra := int64(0)
+	if p == waiting {
+		extra = c.held - allowance.ConnectionBytes
+		c.held -= extra
+		c.head = 0
+	}
 	_ = c.applyDeadline() // fails only if the connection is closed
+	c.mu.Unlock()
+	if p == waiting {
+		c.account.Shrink(extra)
+		c.account.Restart(now)
+		return
+	}
+	c.account.Rest(now)
 }
 
 // stop closes the connection once it is quiet.
@@ -332,6 +542,14 @@
 		return nil
 	}
 	t := c.deadline
+	switch {
+	case c.leaving:
+		return c.TCPConn.SetReadDeadline(longAgo)
+	case c.phase == waiting:
+		t = earliest(t, c.last, time.Duration(c.listener.idleTime.Load()))
+	case c.phase == receiving:
+		t = earliest(t, c.begun, time.Duration(c.listener.headTime.Load()))
+	}
 	if !c.stopped.IsZero() && c.phase != active {
 		limit := c.last.Add(c.listener.quietTime)
 		if c.phase == receiving {
@@ -344,6 +562,21 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// earliest returns the earlier of a deadline and the end of a limit that began at start.
+// A deadline or a limit of 0 is none.
+func earliest(deadline, start time.Time, limit time.Duration) time.Time {
+	if end := start.Add(limit); limit > 0 && (deadline.IsZero() || end.Before(deadline)) {
+		return end
+	}
+	return deadline
+}
+
+func (c *conn) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -20,6 +20,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/callers/allowance"
 	"endivedeck.example/pool"
 	"endivedeck.example/settings"
 )
@@ -100,6 +101,7 @@
 		Log     *logrus.Entry
 		Metrics *metrics.Set
 		Pool    *pool.Pool
+		Callers *allowance.Budget // of the memory that is held for callers; nil for one of each server
 	}
 
 	// Kernel runs one role. Create it with New.
@@ -166,6 +168,7 @@
 		Metrics: set,
 		Pool:    pool.New(process.Workers, process.Backlog),
 	}
+	host.Callers = newCallersBudget(process, log, set)
 	role, err := factory(host)
 	if err != nil {
 		return nil, err
@@ -179,7 +182,7 @@
 // Start starts the metrics server, if MetricsListen is set, and the role.
 func (k *Kernel) Start(ctx context.Context) error {
 	if address := k.host.Process.MetricsListen; address != "" {
-		server, err := gate.New(address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
+		server, err := gate.NewWithin(k.host.Callers, address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
 		if err != nil {
 			return err
 		}
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -28,6 +28,7 @@
 	Order                      // sidecar: entries that receive grants; entry: order attempts to be resolved
 	Stream                     // sidecar: resumable streams
 	Connection                 // wire: connections to other processes; upstream: connections to backend servers; gate: connections of callers
+	Allowance                  // allowance: what is held for callers
 	Standin                    // standin: state of a stand-in for a backend server
 	Pool                       // pool: queue of the worker pool
 	Telemetry                  // kernel: metrics and log sinks
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -26,14 +26,22 @@
 
 	// bufferShare is what one request holds of a bufferLimit.
 	bufferShare struct {
-		limit *bufferLimit
-		held  int64
+		limit   *bufferLimit
+		hold    func(bytes int64) bool // charges bytes to the caller until the request ends
+		held    int64
+		charged int64 // by hold
 	}
 )
 
-// resize sets the number of bytes that are held, and reports whether the limit allows
-// it. Fewer bytes are always allowed.
+// resize sets the number of bytes that are held, and reports whether the limit and the
+// caller's share of the process's memory allow it. Fewer bytes are always allowed.
 func (s *bufferShare) resize(bytes int) bool {
+	if more := int64(bytes) - s.charged; s.hold != nil && more > 0 {
+		if !s.hold(more) {
+			return false
+		}
+		s.charged += more
+	}
 	counted := int64(max(bytes-freeBufferBytes, 0))
 	total := s.limit.held.Add(counted - s.held)
 	if counted > s.held && total > maxBufferBytes {
@@ -58,7 +66,7 @@
 		if len(body) == cap(body) {
 			size := min(max(2*cap(body), minBufferGrowth), maxResponseBytes+1)
 			if !share.resize(size) {
-				return nil, fault.New(fault.TooLarge, fault.MaybeRun, "responses hold more than %d bytes at a time", maxBufferBytes)
+				return nil, fault.New(fault.TooLarge, fault.MaybeRun, "no room for the response: responses hold at most %d bytes at a time, and callers their share of the memory", maxBufferBytes)
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
--- a/relay/job.go
+++ b/relay/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/gate"
 	"endivedeck.example/placement"
 	"endivedeck.example/routes"
 	"endivedeck.example/upstream"
@@ -85,6 +86,7 @@
 // or no retry is allowed.
 func (j *job) serve() error {
 	j.buffers.limit = &j.relay.buffers
+	j.buffers.hold = j.hold
 	defer j.buffers.release()
 	j.position = newStreamPosition(j.info.LastEventID)
 	j.parts = j.info.sharedParts()
@@ -98,6 +100,10 @@
 	}
 }
 
+// hold charges bytes to the caller until the request ends, and reports whether there is
+// room for them.
+func (j *job) hold(bytes int64) bool { return gate.Hold(j.request.Context(), bytes) }
+
 // hashFraction maps a request ID to a number in [0, 1). Requests spread evenly over
 // a route's services, and the same ID always selects the same service.
 func hashFraction(id string) float64 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -188,12 +188,12 @@
 	go r.run()
 	go r.cacheSurvey.run(r.ctx)
 	go r.evidence.run(r.ctx)
-	ready, err := gate.New(r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
+	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
 	if err != nil {
 		return err
 	}
 	r.readyServer = ready
-	r.callerServer, err = gate.New(r.settings.Listen, r, r.settings.Limits, nil)
+	r.callerServer, err = gate.NewWithin(r.host.Callers, r.settings.Listen, r, r.settings.Limits, nil)
 	return err
 }
 
