--- a/control/duties_test.go
+++ b/control/duties_test.go
@@ -482,7 +482,7 @@
 		if got := leader.state.Tenure(DutyUsage); got != (tenure.Tenure{}) {
 			t.Errorf("tenure: got %+v, want none", got)
 		}
-		if got := leader.publisher.updateSince(0).Time; got != 0 {
+		if got := (&relaySubscriber{publisher: leader.publisher}).update(time.Now(), true).Time; got != 0 {
 			t.Errorf("time for relays: got %d, want 0", got)
 		}
 		if _, served := leader.handlers()[message.MethodUsage]; served {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -20,10 +20,15 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/callers/allowance"
 	"endivedeck.example/pool"
 	"endivedeck.example/settings"
 )
 
+// DefaultMemory is the memory that a process may use, in MB, unless its settings
+// say so.
+const DefaultMemory = 1024
+
 const (
 	defaultWorkers     = 256
 	defaultStopTimeout = 30 * time.Second
@@ -83,7 +88,8 @@
 		MetricsListen string                      `json:"metrics"` // address of the metrics server; empty for none
 		Workers       int                         `json:"workers" range:"1..65536"`
 		Backlog       int                         `json:"backlog" range:"0..1048576"`
-		MaxCores      int                         `json:"cores" range:"0..1024"` // maximum number of cores used at the same time; 0 for all
+		MaxCores      int                         `json:"cores" range:"0..1024"`     // maximum number of cores used at the same time; 0 for all
+		MaxMemory     int                         `json:"memory" range:"0..1048576"` // memory that the process may use, in MB; 0 for DefaultMemory
 		StopTimeout   settings.Duration           `json:"stopTime" range:"100ms..1h"`
 		LogLevel      string                      `json:"logLevel"`
 		Sections      map[string]settings.Section `json:"*"`
@@ -95,6 +101,7 @@
 		Log     *logrus.Entry
 		Metrics *metrics.Set
 		Pool    *pool.Pool
+		Callers *allowance.Budget // of the memory that is held for callers; nil for one of each server
 	}
 
 	// Kernel runs one role. Create it with New.
@@ -161,6 +168,7 @@
 		Metrics: set,
 		Pool:    pool.New(process.Workers, process.Backlog),
 	}
+	host.Callers = newCallersBudget(process, log, set)
 	role, err := factory(host)
 	if err != nil {
 		return nil, err
@@ -174,7 +182,7 @@
 // Start starts the metrics server, if MetricsListen is set, and the role.
 func (k *Kernel) Start(ctx context.Context) error {
 	if address := k.host.Process.MetricsListen; address != "" {
-		server, err := gate.New(address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
+		server, err := gate.NewWithin(k.host.Callers, address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
 		if err != nil {
 			return err
 		}
