--- a/placement/chat.go
+++ b/placement/chat.go
@@ -14,7 +14,11 @@
 	// engine prefills such a prompt in one chunk between two decode steps.
 	MaxChatTokens = 1024
 
-	chatPackFraction  = 0.6                   // fraction of an engine's slots to fill with chats before using the next engine
+	chatPackFraction = 0.6 // fraction of an engine's slots to fill with chats before using the next engine
+	// slowFill is added to the fill of an engine that is slower than most: each token of
+	// a chat takes as long as a step.
+	slowFill = 1.5
+
 	maxChatQueue      = 60 * time.Millisecond // engines with a longer queue are used for chats last
 	chatRendezvousKey = 0                     // key of the engine order that all relays use for chats
 )
@@ -41,6 +45,9 @@
 		if queue > maxChatQueue {
 			fill++ // ranks behind all engines with a short queue
 		}
+		if t.lasting(now, s) > 1 {
+			fill += slowFill
+		}
 		weight := s.rendezvousWeight(chatRendezvousKey)
 		if best == nil || fill < bestFill || fill == bestFill && weight > bestWeight {
 			best, bestQueue, bestFill, bestWeight = s, queue, fill, weight
@@ -50,7 +57,8 @@
 		return Choice{}, errNoDecoder(req)
 	}
 	nominal := nominalPrefillTime(best.Stage, float64(req.PromptTokens), req.PromptTokens)
-	prefill := t.prefillPace(best).Estimate(nominal)
+	usual := t.prefillPace(best).Estimate(nominal)
+	prefill := time.Duration(t.slowness(now, best) * float64(usual))
 	if !req.MustPlace && !req.meetsObjective(bestQueue, bestQueue+prefill, 1) && !req.usefulWhenLate(bestQueue+prefill) {
 		return Choice{}, errTooLate(req, bestQueue)
 	}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -26,15 +26,17 @@
 	}
 )
 
-// Loads returns the load that this relay puts on each server. Servers without
-// active requests are omitted.
-func (t *Table) Loads() []Load {
+// Loads returns the load that this relay puts on each server, and what it has measured of
+// their speeds. Servers without active requests or recent samples are omitted.
+func (t *Table) Loads(now time.Time) []Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Load
 	for _, s := range t.servers {
-		if s.active > 0 {
-			list = append(list, Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats})
+		l := Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats}
+		s.tellSpeed(now, &l)
+		if l.Active > 0 || l.Samples > 0 {
+			list = append(list, l)
 		}
 	}
 	return list
@@ -112,6 +114,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.peerLoads[relay]
+	for _, l := range list {
+		if s := t.servers[l.Server]; s != nil {
+			s.heardSpeed(now, before[l.Server].load, l)
+		}
+	}
 	t.peerLoads[relay] = loads
 	for _, inserted := range inserts {
 		if s := t.servers[inserted.Server]; s != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,6 +70,10 @@
 		Active  int           `cbor:"3,keyasint"` // number of requests
 		Chats   int           `cbor:"4,keyasint"` // number of these that are chats
 		Late    time.Duration `cbor:"5,keyasint"` // expected prefill time still to be done for late requests, which yield to the others
+
+		// What the relay has measured of the server's speed just now.
+		Samples  uint64 `cbor:"6,keyasint,omitempty"` // number of samples so far; 0 if none is recent
+		LogRatio int    `cbor:"7,keyasint,omitempty"` // logarithm of the ratio of actual and expected times, in thousandths
 	}
 
 	// Ticket is a request's assignment to one server. End must be called once.
@@ -87,6 +91,7 @@
 		prefillTime    time.Duration // expected
 		nominalPrefill time.Duration // at the nominal rates; 0 if the KV cache is fetched from another engine
 		queueTime      time.Duration // expected, before the prefill
+		usualTime      time.Duration // expected until the response begins, on a server that is as fast as usual; 0 if unknown
 		handoff        bool          // the server fetches the KV cache from the one that ran the prefill
 		transferTime   time.Duration // of the KV cache in a handoff, nominal
 		handoffTime    time.Duration // expected time until the response begins in a handoff
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -62,11 +62,13 @@
 		prefixSource   *server       // its cache has a longer prefix than that of server; nil if none does
 		transferTime   time.Duration // nominal time to transfer the KV cache to decoder
 		handoffTime    time.Duration // expected time from the end of the prefill until decoder has generated a token
+		usualHandoff   time.Duration // the same if decoder is as fast as usual
 		late           bool          // yields to requests that can still meet their objectives
 		chats          int           // that server decodes
 		queueTime      time.Duration // at server and decoder together
 		prefillTime    time.Duration // for the tokens that have to be prefilled
 		nominalPrefill time.Duration // the same at the nominal rates
+		usualTime      time.Duration // queue and prefill on an engine that is as fast as usual
 		newTokens      int           // inserted into the cache of server
 		firstByte      time.Duration // until the response begins
 		cost           time.Duration // firstByte and the cost to other requests
@@ -217,7 +219,10 @@
 	}
 	prefilled := float64(ps.req.PromptTokens-cached-transferred) + localMissRate*float64(cached) + remoteMissRate*float64(transferred)
 	p.nominalPrefill = nominalPrefillTime(s.Stage, prefilled, ps.req.PromptTokens)
-	p.prefillTime = ps.table.prefillPace(s).Estimate(p.nominalPrefill)
+	usualPrefill := ps.table.prefillPace(s).Estimate(p.nominalPrefill)
+	slowness := ps.table.slowness(ps.now, s)
+	p.prefillTime = time.Duration(slowness * float64(usualPrefill))
+	p.usualTime = usualPrefill + time.Duration(float64(p.queueTime)/slowness)
 	p.newTokens = ps.req.PromptTokens - cached
 	p.firstByte = p.queueTime + transfer + p.prefillTime + s.crossDomainCost(ps.req)
 	p.cost = p.firstByte + evictionCost(p.newTokens)
@@ -247,7 +252,8 @@
 func (ps *promptSearch) addHandoff(p *plan) {
 	tokens := ps.uncachedTokens(p.decoder)
 	p.transferTime = transferTime(ps.table.engines[p.server.Service], tokens, p.decoder.Domain != p.server.Domain)
-	p.handoffTime = ps.table.handoffPace(p.decoder).Estimate(p.transferTime)
+	p.usualHandoff = ps.table.handoffPace(p.decoder).Estimate(p.transferTime)
+	p.handoffTime = time.Duration(ps.table.slowness(ps.now, p.decoder) * float64(p.usualHandoff))
 	p.firstByte += p.handoffTime
 	p.cost += p.handoffTime
 }
@@ -264,7 +270,9 @@
 func (ps *promptSearch) decodeCost(s *server) time.Duration {
 	load := ps.table.loadOf(ps.now, s)
 	queueTime := min(s.queueTime(ps.now, load, false), maxDecodeQueue)
-	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
+	slower := ps.table.slowness(ps.now, s) - 1
+	slowCost := time.Duration(slower * float64(ps.table.handoffPace(s).Estimate(0)))
+	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + slowCost + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
 }
 
 // commit assigns the request to the servers of a plan.
@@ -276,7 +284,7 @@
 		c.PrefixSource = p.prefixSource.Address
 	}
 	t.recordInsert(p.server, ps.prefixes, p.newTokens)
-	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, late: p.late})
+	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, usualTime: p.usualTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
 		return c
@@ -293,6 +301,7 @@
 		handoff:      true,
 		transferTime: p.transferTime,
 		handoffTime:  p.handoffTime,
+		usualTime:    p.usualHandoff,
 		prefixes:     ps.prefixes,
 		newTokens:    ps.uncachedTokens(p.decoder),
 	})
--- a/placement/table.go
+++ b/placement/table.go
@@ -23,6 +23,7 @@
 		classes      map[string]*class              // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
+		usualSpeeds  map[engineKind]usualSpeed
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -46,6 +47,7 @@
 		pausedUntil     time.Time // the server gets no requests before this time
 		lastSeen        time.Time // time of its last response; at first, of its first request
 		cache           *prefixCache
+		speed           serverSpeed
 	}
 )
 
@@ -60,6 +62,7 @@
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
+		usualSpeeds:  map[engineKind]usualSpeed{},
 	}
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -110,13 +110,16 @@
 	if firstByte <= 0 || tk.late {
 		return
 	}
+	slowness := tk.table.slowness(now, s)
+	s.observeSpeed(now, tk.usualTime, firstByte)
+	usual := time.Duration(float64(firstByte) / slowness) // on an engine that is as fast as usual
 	if tk.handoff {
-		tk.table.handoffPace(s).Observe(tk.transferTime, firstByte)
+		tk.table.handoffPace(s).Observe(tk.transferTime, usual)
 		return
 	}
 	s.updateQueueWait(now, max(firstByte-prefill-tk.queueTime, 0))
 	if tk.queueTime < maxIdleQueue && tk.nominalPrefill > 0 {
-		tk.table.prefillPace(s).Observe(tk.nominalPrefill, firstByte)
+		tk.table.prefillPace(s).Observe(tk.nominalPrefill, usual)
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -68,6 +68,7 @@
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
 	next := stall.stop(broken)
+	j.longestPause = max(j.longestPause, stall.longestPause)
 	switch {
 	case !broken && next != nil: // was given up in the moment of its end
 		next.drop(placement.Canceled)
--- a/relay/job.go
+++ b/relay/job.go
@@ -62,6 +62,7 @@
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
+	longestPause    time.Duration    // between two events of a stream
 	choice          placement.Choice // the latest
 	serverID        string
 	endedServerID   string // of the latest server that broke the connection
--- a/relay/log.go
+++ b/relay/log.go
@@ -54,6 +54,9 @@
 		fields["source"] = j.choice.PrefixSource
 	}
 	fields["first"] = j.timeToFirstByte.Milliseconds()
+	if j.longestPause > 0 {
+		fields["pause"] = j.longestPause.Milliseconds()
+	}
 	if !j.deadline.IsZero() {
 		fields["allowed"] = j.deadline.Sub(j.start).Milliseconds()
 	}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -90,7 +90,7 @@
 	var nextDeparture uint64
 	for {
 		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
-		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads()}
+		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads(time.Now())}
 		loads.CacheInserts, next = p.relay.placement.CacheInserts(next)
 		loads.CacheListings, nextListing = p.relay.cacheSurvey.since(nextListing)
 		loads.CacheInserts = append(inserts, loads.CacheInserts...)
