--- a/message/message.go
+++ b/message/message.go
@@ -166,7 +166,7 @@
 	// each backend server.
 	RelayLoads struct {
 		Relay   string           `cbor:"1,keyasint"` // address of the relay
-		Servers []placement.Load `cbor:"2,keyasint"` // without backend servers on which it has no requests
+		Servers []placement.Load `cbor:"2,keyasint,omitempty"` // loads that have changed since the previous message of the call
 
 		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
--- a/placement/chat.go
+++ b/placement/chat.go
@@ -14,7 +14,8 @@
 	// engine prefills such a prompt in one chunk between two decode steps.
 	MaxChatTokens = 1024
 
-	chatPackFraction = 0.6 // fraction of an engine's slots to fill with chats before using the next engine
+	chatPackFraction = 0.6  // fraction of an engine's slots to fill with chats before using the next engine
+	unevenPack       = 0.85 // the same where engines are uneven, so that fewer of them hold chats
 	// slowFill is added to the fill of an engine that is slower than most: each token of
 	// a chat takes as long as a step.
 	slowFill = 1.5
@@ -35,13 +36,17 @@
 	var bestQueue time.Duration
 	var bestFill float64
 	var bestWeight uint64
+	pack := chatPackFraction
+	if t.uneven(now, req.Service) {
+		pack = unevenPack
+	}
 	for _, s := range candidates {
 		if s.Stage == roster.Prefill {
 			continue
 		}
 		load := t.loadOf(now, s)
 		queue := s.queueTime(now, load, false)
-		fill := max(float64(load.chats)/float64(max(s.Slots, 1)), chatPackFraction)
+		fill := max(float64(load.chats)/float64(max(s.Slots, 1)), pack)
 		if queue > maxChatQueue {
 			fill++ // ranks behind all engines with a short queue
 		}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -7,13 +7,14 @@
 	"endivedeck.example/roster"
 )
 
-// peerLoadTTL is how long the load reported by another relay is used.
-const peerLoadTTL = 300 * time.Millisecond
+// peerLoadTTL is how long the load reported by another relay is used. A relay on a thin
+// link reports every 200 ms.
+const peerLoadTTL = 600 * time.Millisecond
 
 type (
-	// peerLoad is the load that another relay reported for one server.
-	peerLoad struct {
-		load       Load
+	// peerReport is the load that another relay has reported.
+	peerReport struct {
+		loads      map[string]Load // by server ID
 		receivedAt time.Time
 	}
 
@@ -105,22 +106,65 @@
 	return list
 }
 
+// LoadChanges returns the loads that differ from those that were sent before, which it
+// updates. A server whose load has ended is listed without load.
+func LoadChanges(sent map[string]Load, current []Load) []Load {
+	var changes []Load
+	listed := make(map[string]bool, len(current))
+	for _, l := range current {
+		listed[l.Server] = true
+		if sent[l.Server] != l {
+			sent[l.Server] = l
+			changes = append(changes, l)
+		}
+	}
+	for id := range sent {
+		if !listed[id] {
+			delete(sent, id)
+			changes = append(changes, Load{Server: id})
+		}
+	}
+	return changes
+}
+
 // UpdatePeer records a report of another relay: its current load on each server,
 // and the cache insertions that it has caused since its last report.
 func (t *Table) UpdatePeer(now time.Time, relay string, list []Load, inserts []CacheInsert) {
-	loads := make(map[string]peerLoad, len(list))
-	for _, l := range list {
-		loads[l.Server] = peerLoad{load: l, receivedAt: now}
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.peerLoads[relay]
+	before := t.peerLoads[relay].loads
+	t.peerLoads[relay] = peerReport{loads: make(map[string]Load, len(list)), receivedAt: now}
+	t.applyReport(now, relay, before, list, inserts)
+}
+
+// ChangePeer records the changes since the last report of another relay, as LoadChanges
+// lists them, and the cache insertions since then.
+func (t *Table) ChangePeer(now time.Time, relay string, changes []Load, inserts []CacheInsert) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := t.peerLoads[relay]
+	if report.loads == nil {
+		report.loads = map[string]Load{}
+	}
+	report.receivedAt = now
+	t.peerLoads[relay] = report
+	t.applyReport(now, relay, report.loads, changes, inserts)
+}
+
+// applyReport applies what another relay has reported. before has its loads until then.
+// The caller must hold mu.
+func (t *Table) applyReport(now time.Time, relay string, before map[string]Load, list []Load, inserts []CacheInsert) {
+	loads := t.peerLoads[relay].loads
 	for _, l := range list {
 		if s := t.servers[l.Server]; s != nil {
-			s.heardSpeed(now, before[l.Server].load, l)
+			s.heardSpeed(now, before[l.Server], l)
+		}
+		if l == (Load{Server: l.Server}) {
+			delete(loads, l.Server)
+			continue
 		}
+		loads[l.Server] = l
 	}
-	t.peerLoads[relay] = loads
 	for _, inserted := range inserts {
 		if s := t.servers[inserted.Server]; s != nil {
 			s.cache.insert(inserted.Prefixes, inserted.Tokens)
@@ -151,15 +195,15 @@
 // relays have reported within peerLoadTTL.
 func (t *Table) loadOf(now time.Time, s *server) totalLoad {
 	sum := totalLoad{pending: s.pending, late: s.latePending, active: s.active, chats: s.chats}
-	for _, loads := range t.peerLoads {
-		l, known := loads[s.ID]
-		if !known || now.Sub(l.receivedAt) > peerLoadTTL {
+	for _, report := range t.peerLoads {
+		if now.Sub(report.receivedAt) > peerLoadTTL {
 			continue
 		}
-		sum.pending += l.load.Pending
-		sum.late += l.load.Late
-		sum.active += l.load.Active
-		sum.chats += l.load.Chats
+		l := report.loads[s.ID]
+		sum.pending += l.Pending
+		sum.late += l.Late
+		sum.active += l.Active
+		sum.chats += l.Chats
 	}
 	return sum
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -38,6 +38,7 @@
 
 		ObjectiveLeft time.Duration // time left of the latency objective; 0 or less if it's already missed
 		TimeLeft      time.Duration // time until the caller needs the complete response
+		SendCost      time.Duration // cost of sending the request once more than needed
 		MustPlace     bool          // place the request however long it would wait
 	}
 
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -34,6 +34,11 @@
 	// their tokens.
 	interferenceWeight = 0.07
 
+	// maxPrefillBesideChats is the prefill time that may be pending on an engine that
+	// decodes chats, where engines are uneven: the chats' tokens wait for it, and in a slow
+	// stretch it takes a multiple.
+	maxPrefillBesideChats = 40 * time.Millisecond
+
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -53,6 +58,7 @@
 		prefixes     []uint64
 		candidates   []*server
 		prefixSource *server // has the longest cached prefix; nil if no server has any
+		sparesChats  bool    // little is prefilled on engines that decode chats
 	}
 
 	// plan is the expected course of a request if server prefills its prompt.
@@ -84,11 +90,21 @@
 	ps.prefixSource = ps.findPrefixSource()
 	class := t.class(req)
 	if req.ObjectiveLeft > 0 || req.MustPlace {
+		waitFactor := class.waitFactor(req, ps.uncachedPrefillTime())
+		if t.uneven(now, req.Service) {
+			ps.sparesChats = true
+			p, err := ps.bestPlan(false)
+			if err == nil && req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
+				class.recordServed(req, 1)
+				return ps.commit(p), nil
+			}
+			ps.sparesChats = false
+		}
 		p, err := ps.bestPlan(false)
 		if err != nil {
 			return Choice{}, err
 		}
-		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, class.waitFactor(req, ps.uncachedPrefillTime())) {
+		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
 			class.recordServed(req, 1)
 			return ps.commit(p), nil
 		}
@@ -180,7 +196,10 @@
 			}
 			continue
 		}
-		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) {
+		if p.chats > 0 && (late || ps.sparesChats && p.queueTime+p.prefillTime > maxPrefillBesideChats) {
+			continue
+		}
+		if single.server == nil || p.cost < single.cost {
 			single = p
 		}
 	}
@@ -191,6 +210,7 @@
 	if split.server != nil {
 		split.decoder = decoder
 		ps.addHandoff(&split)
+		split.cost += ps.req.SendCost
 		if single.server == nil || split.cost+decoderCost < single.cost {
 			return split, nil
 		}
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"endivedeck.example/internal/engines/speed"
+	"endivedeck.example/roster"
 )
 
 const (
 	usualInterval    = 250 * time.Millisecond // between two computations of the usual speed of a kind
 	minKnownSpeeds   = 3                      // engines of a kind whose speeds must be known to compare them
+	minUnevenShare   = 0.05                   // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
+	typicalGapWeight = 0.005                  // of a new sample in the typical gap
 	speedSampleShare = 0.5                    // weight of a new sample in what is told to other relays
 )
 
@@ -25,10 +28,17 @@
 		at       time.Time // of this relay's last sample
 	}
 
+	// typicalGap is the time between two events of a chat on engines of a kind.
+	typicalGap struct {
+		logGap  float64 // logarithm of nanoseconds, moving average
+		samples int
+	}
+
 	// usualSpeed is the speed of most engines of a kind.
 	usualSpeed struct {
 		median float64 // of speed.Model.Median
 		known  int     // engines with a known speed
+		others int     // number of these that are faster or slower than usual
 		at     time.Time
 	}
 )
@@ -47,6 +57,17 @@
 	return t.lasting(now, s) * s.speed.model.Passing(now)
 }
 
+// uneven reports whether the engines of a service differ in speed all along.
+func (t *Table) uneven(now time.Time, service string) bool {
+	known, others := 0, 0
+	for _, stage := range []roster.Stage{roster.Colocated, roster.Prefill, roster.Decode} {
+		u := t.usual(now, engineKind{service, stage})
+		known += u.known
+		others += u.others
+	}
+	return float64(others) > minUnevenShare*float64(known)
+}
+
 // usual returns the usual speed of a kind.
 func (t *Table) usual(now time.Time, kind engineKind) usualSpeed {
 	u, known := t.usualSpeeds[kind]
@@ -64,10 +85,36 @@
 	if u.known > 0 {
 		u.median = medians[u.known/2]
 	}
+	for _, s := range t.byService[kind.service] {
+		if s.Stage == kind.stage && u.known >= minKnownSpeeds && s.speed.model.Lasting(u.median) != 1 {
+			u.others++
+		}
+	}
 	t.usualSpeeds[kind] = u
 	return u
 }
 
+// EventGap records the time between two events of the response. Those of chats tell how
+// fast the server is; other responses have few.
+func (tk *Ticket) EventGap(now time.Time, gap time.Duration) {
+	if !tk.chat || gap <= 0 {
+		return
+	}
+	tk.table.mu.Lock()
+	defer tk.table.mu.Unlock()
+	s := tk.table.servers[tk.Server.ID]
+	if s == nil {
+		return
+	}
+	kind := engineKind{s.Service, s.Stage}
+	typical := tk.table.gaps[kind]
+	logGap := math.Log(float64(gap))
+	typical.samples++
+	typical.logGap += max(typicalGapWeight, 1/float64(typical.samples)) * (logGap - typical.logGap)
+	tk.table.gaps[kind] = typical
+	s.observeSpeed(now, time.Duration(math.Exp(typical.logGap)), gap)
+}
+
 // observeSpeed records how long a server has taken for work that takes usual on an engine
 // of its kind.
 func (s *server) observeSpeed(now time.Time, usual, took time.Duration) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -16,14 +16,15 @@
 	// knowledge about them. Create it with New.
 	Table struct {
 		mu           rank.Mutex
-		servers      map[string]*server             // by ID
-		byService    map[string][]*server           // in the order of the list that was passed to SetServers
-		peerLoads    map[string]map[string]peerLoad // by relay, then by server ID
-		engines      map[string]routes.Engine       // by service
-		classes      map[string]*class              // by name
+		servers      map[string]*server       // by ID
+		byService    map[string][]*server     // in the order of the list that was passed to SetServers
+		peerLoads    map[string]peerReport    // by relay
+		engines      map[string]routes.Engine // by service
+		classes      map[string]*class        // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[engineKind]usualSpeed
+		gaps         map[engineKind]typicalGap
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -57,12 +58,13 @@
 		mu:           rank.New(rank.Fleet),
 		servers:      map[string]*server{},
 		byService:    map[string][]*server{},
-		peerLoads:    map[string]map[string]peerLoad{},
+		peerLoads:    map[string]peerReport{},
 		engines:      map[string]routes.Engine{},
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
 		usualSpeeds:  map[engineKind]usualSpeed{},
+		gaps:         map[engineKind]typicalGap{},
 	}
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -14,6 +14,8 @@
 	queueWaitHalfLife = 150 * time.Millisecond // of a measured queue wait
 	errorRateHalfLife = 2 * time.Second        // of a measured error rate
 
+	overestimatedBelow = 0.5 // fraction of the expected prefill time
+
 	averageWeight = 0.2 // weight of a new sample in a moving average
 )
 
@@ -107,9 +109,16 @@
 	}
 	pending := s.pendingPrefill(tk.late)
 	*pending = max(*pending-prefill, 0)
-	if firstByte <= 0 || tk.late {
+	if firstByte <= 0 {
 		return
 	}
+	// A response that begins in a fraction of the expected prefill time shows that this is
+	// wrong, whatever the queue was. Without such samples, an estimate that exceeds the
+	// objectives would make every request late and never be corrected.
+	tooLong := !tk.handoff && firstByte < time.Duration(overestimatedBelow*float64(prefill))
+	if tk.late && !tooLong {
+		return // others may have overtaken it
+	}
 	slowness := tk.table.slowness(now, s)
 	s.observeSpeed(now, tk.usualTime, firstByte)
 	usual := time.Duration(float64(firstByte) / slowness) // on an engine that is as fast as usual
@@ -118,7 +127,7 @@
 		return
 	}
 	s.updateQueueWait(now, max(firstByte-prefill-tk.queueTime, 0))
-	if tk.queueTime < maxIdleQueue && tk.nominalPrefill > 0 {
+	if (tk.queueTime < maxIdleQueue || tooLong) && tk.nominalPrefill > 0 {
 		tk.table.prefillPace(s).Observe(tk.nominalPrefill, usual)
 	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -34,6 +34,7 @@
 	cancel   context.CancelFunc
 	events   int       // of this response that have been received
 	recorded time.Time // when the progress was last recorded
+	lastAt   time.Time // when the latest event was received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -137,8 +138,16 @@
 // countEvents counts events that have been received, and records the progress of the
 // answer now and then.
 func (f *responseForwarder) countEvents(n int) {
+	if n == 0 {
+		return
+	}
+	now := time.Now()
+	if f.events > 0 {
+		f.ticket.EventGap(now, now.Sub(f.lastAt)/time.Duration(n))
+	}
 	f.events += n
-	if now := time.Now(); n > 0 && now.Sub(f.recorded) >= progressInterval {
+	f.lastAt = now
+	if now.Sub(f.recorded) >= progressInterval {
 		f.recorded = now
 		f.ticket.Progress(now)
 		f.job.recordProgress(now, f.events)
--- a/relay/job.go
+++ b/relay/job.go
@@ -223,6 +223,7 @@
 		SingleEngine:  j.colocated,
 		ObjectiveLeft: j.objectiveLeft(now),
 		TimeLeft:      j.deadline.Sub(now),
+		SendCost:      j.relay.link.sendCost(now, len(j.body)+requestBytes),
 		MustPlace:     j.sends > 0 || j.route.Kind != routes.Stream,
 	}
 }
@@ -397,6 +398,7 @@
 	if s := j.relay.routeView.Service(j.service); s != nil && s.MaxConns > 0 {
 		limit = max(s.MaxConns/int(j.relay.relayCount.Load()+1), 1) // one share is kept free for a relay that joins
 	}
+	j.relay.link.add(time.Now(), len(j.body)+requestBytes)
 	resp, err := j.relay.upstream.Send(ctx, opts.Server.Address, upstream.Request{
 		Method:   j.request.Method,
 		Host:     j.request.Host,
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -8,6 +8,7 @@
 	"endivedeck.example/internal/fleet/shard"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
+	"endivedeck.example/placement"
 	"endivedeck.example/wire"
 )
 
@@ -20,6 +21,17 @@
 	// together. With more relays, each one gets them less often.
 	maxLoadsPerSecond = 500
 
+	// maxLoadsLinkShare limits the share of the machine's link that load messages take,
+	// where Settings.LinkRate is known. Requests and what control sends need the rest.
+	maxLoadsLinkShare = 0.15
+
+	// Sizes from which the size of a load message is estimated, in bytes.
+	loadsOverheadBytes  = 90 // headers of the packet and of the message
+	loadBytes           = 30 // load on one server
+	cacheInsertBytes    = 45
+	messageBytesWeight  = 0.1 // of a new message in the average size
+	initialMessageBytes = 300
+
 	peerRetryDelay = 500 * time.Millisecond // before the next attempt to reach a relay
 )
 
@@ -88,9 +100,11 @@
 	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
 	var nextDeparture uint64
+	sent := map[string]placement.Load{}
+	size := float64(initialMessageBytes) // average
 	for {
 		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
-		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads(time.Now())}
+		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: placement.LoadChanges(sent, p.relay.placement.Loads(time.Now()))}
 		loads.CacheInserts, next = p.relay.placement.CacheInserts(next)
 		loads.CacheListings, nextListing = p.relay.cacheSurvey.since(nextListing)
 		loads.CacheInserts = append(inserts, loads.CacheInserts...)
@@ -99,13 +113,16 @@
 		loads.Evidence = append(evidence, loads.Evidence...)
 		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty {
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty { // also without changes, to keep the loads in use
 			if err := call.Send(loads); err != nil {
 				return err
 			}
 		}
-		lastEmpty = len(loads.Servers) == 0
-		if !interval.SleepUntil(ctx, p.relay.loadsInterval(), woken) {
+		lastEmpty = len(sent) == 0
+		bytes := loadsOverheadBytes + loadBytes*len(loads.Servers) + cacheInsertBytes*len(loads.CacheInserts)
+		p.relay.link.add(time.Now(), bytes)
+		size += messageBytesWeight * (float64(bytes) - size)
+		if !interval.SleepUntil(ctx, p.relay.loadsInterval(size), woken) {
 			return nil
 		}
 	}
@@ -130,16 +147,22 @@
 	return func(part uint64) bool { return shares(partKey(part)) }
 }
 
-// loadsInterval returns the interval between load messages to one relay.
-func (r *Relay) loadsInterval() time.Duration {
-	return max(minLoadsInterval, time.Duration(r.relayCount.Load())*time.Second/maxLoadsPerSecond)
+// loadsInterval returns the interval between load messages of the given average size, in
+// bytes, to one relay.
+func (r *Relay) loadsInterval(size float64) time.Duration {
+	relays := r.relayCount.Load()
+	wait := max(minLoadsInterval, time.Duration(relays)*time.Second/maxLoadsPerSecond)
+	if r.settings.LinkRate > 0 {
+		wait = max(wait, time.Duration(float64(relays)*size/(maxLoadsLinkShare*r.settings.LinkRate)*float64(time.Second)))
+	}
+	return wait
 }
 
 // receiveLoads serves message.MethodLoads: it records the load of another relay
 // until the call ends.
 func (r *Relay) receiveLoads(call *wire.ServerCall) {
 	defer call.End()
-	for {
+	for first := true; ; first = false {
 		var loads message.RelayLoads
 		if err := call.Receive(&loads); err != nil {
 			return
@@ -148,7 +171,11 @@
 		if r.roster.MergeDepartures(now, loads.Departures) {
 			r.applyServers(now, loads.Relay)
 		}
-		r.placement.UpdatePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
+		if first {
+			r.placement.UpdatePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
+		} else {
+			r.placement.ChangePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
+		}
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,6 +66,7 @@
 		RetryWindow    settings.Duration `json:"retryWindow" range:"100ms..10m"` // span of time to which both limits apply
 		SilenceTimeout settings.Duration `json:"silence" range:"100ms..10m"`     // time without an announcement after which a backend server gets no requests
 		GracePeriod    settings.Duration `json:"grace" range:"0s..10m"`          // from the stop signal until the process is killed
+		LinkRate       float64           `json:"link" range:"0..1e12"`           // of the machine's link, in bytes per second; 0 if unknown
 		Limits         gate.Limits       `json:"limits"`
 	}
 
@@ -87,6 +88,7 @@
 		quarantine    *quarantine.Table
 		evidence      *evidenceExchange
 		buffers       bufferLimit
+		link          *linkMeter
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
@@ -159,6 +161,7 @@
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
 		quarantine:    quarantine.New(),
+		link:          newLinkMeter(settings.LinkRate),
 		retryBudget: budget.New(budget.Limit{
 			Ratio:  settings.RetryRatio,
 			Slack:  settings.RetrySlack,
