--- a/placement/chat.go
+++ b/placement/chat.go
@@ -14,7 +14,12 @@
 	// engine prefills such a prompt in one chunk between two decode steps.
 	MaxChatTokens = 1024
 
-	chatPackFraction  = 0.6                   // fraction of an engine's slots to fill with chats before using the next engine
+	chatPackFraction = 0.6  // fraction of an engine's slots to fill with chats before using the next engine
+	unevenPack       = 0.85 // the same where engines are uneven, so that fewer of them hold chats
+	// slowFill is added to the fill of an engine that is slower than most: each token of
+	// a chat takes as long as a step.
+	slowFill = 1.5
+
 	maxChatQueue      = 60 * time.Millisecond // engines with a longer queue are used for chats last
 	chatRendezvousKey = 0                     // key of the engine order that all relays use for chats
 )
@@ -31,16 +36,23 @@
 	var bestQueue time.Duration
 	var bestFill float64
 	var bestWeight uint64
+	pack := chatPackFraction
+	if t.uneven(now, req.Service) {
+		pack = unevenPack
+	}
 	for _, s := range candidates {
 		if s.Stage == roster.Prefill {
 			continue
 		}
 		load := t.loadOf(now, s)
 		queue := s.queueTime(now, load, false)
-		fill := max(float64(load.chats)/float64(max(s.Slots, 1)), chatPackFraction)
+		fill := max(float64(load.chats)/float64(max(s.Slots, 1)), pack)
 		if queue > maxChatQueue {
 			fill++ // ranks behind all engines with a short queue
 		}
+		if t.lasting(now, s) > 1 {
+			fill += slowFill
+		}
 		weight := s.rendezvousWeight(chatRendezvousKey)
 		if best == nil || fill < bestFill || fill == bestFill && weight > bestWeight {
 			best, bestQueue, bestFill, bestWeight = s, queue, fill, weight
@@ -50,7 +62,8 @@
 		return Choice{}, errNoDecoder(req)
 	}
 	nominal := nominalPrefillTime(best.Stage, float64(req.PromptTokens), req.PromptTokens)
-	prefill := t.prefillPace(best).Estimate(nominal)
+	usual := t.prefillPace(best).Estimate(nominal)
+	prefill := time.Duration(t.slowness(now, best) * float64(usual))
 	if !req.MustPlace && !req.meetsObjective(bestQueue, bestQueue+prefill, 1) && !req.usefulWhenLate(bestQueue+prefill) {
 		return Choice{}, errTooLate(req, bestQueue)
 	}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -34,6 +34,11 @@
 	// their tokens.
 	interferenceWeight = 0.07
 
+	// maxPrefillBesideChats is the prefill time that may be pending on an engine that
+	// decodes chats, where engines are uneven: the chats' tokens wait for it, and in a slow
+	// stretch it takes a multiple.
+	maxPrefillBesideChats = 40 * time.Millisecond
+
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -53,6 +58,7 @@
 		prefixes     []uint64
 		candidates   []*server
 		prefixSource *server // has the longest cached prefix; nil if no server has any
+		sparesChats  bool    // little is prefilled on engines that decode chats
 	}
 
 	// plan is the expected course of a request if server prefills its prompt.
@@ -62,11 +68,13 @@
 		prefixSource   *server       // its cache has a longer prefix than that of server; nil if none does
 		transferTime   time.Duration // nominal time to transfer the KV cache to decoder
 		handoffTime    time.Duration // expected time from the end of the prefill until decoder has generated a token
+		usualHandoff   time.Duration // the same if decoder is as fast as usual
 		late           bool          // yields to requests that can still meet their objectives
 		chats          int           // that server decodes
 		queueTime      time.Duration // at server and decoder together
 		prefillTime    time.Duration // for the tokens that have to be prefilled
 		nominalPrefill time.Duration // the same at the nominal rates
+		usualTime      time.Duration // queue and prefill on an engine that is as fast as usual
 		newTokens      int           // inserted into the cache of server
 		firstByte      time.Duration // until the response begins
 		cost           time.Duration // firstByte and the cost to other requests
@@ -82,11 +90,21 @@
 	ps.prefixSource = ps.findPrefixSource()
 	class := t.class(req)
 	if req.ObjectiveLeft > 0 || req.MustPlace {
+		waitFactor := class.waitFactor(req, ps.uncachedPrefillTime())
+		if t.uneven(now, req.Service) {
+			ps.sparesChats = true
+			p, err := ps.bestPlan(false)
+			if err == nil && req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
+				class.recordServed(req, 1)
+				return ps.commit(p), nil
+			}
+			ps.sparesChats = false
+		}
 		p, err := ps.bestPlan(false)
 		if err != nil {
 			return Choice{}, err
 		}
-		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, class.waitFactor(req, ps.uncachedPrefillTime())) {
+		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
 			class.recordServed(req, 1)
 			return ps.commit(p), nil
 		}
@@ -178,7 +196,10 @@
 			}
 			continue
 		}
-		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) {
+		if p.chats > 0 && (late || ps.sparesChats && p.queueTime+p.prefillTime > maxPrefillBesideChats) {
+			continue
+		}
+		if single.server == nil || p.cost < single.cost {
 			single = p
 		}
 	}
@@ -189,6 +210,7 @@
 	if split.server != nil {
 		split.decoder = decoder
 		ps.addHandoff(&split)
+		split.cost += ps.req.SendCost
 		if single.server == nil || split.cost+decoderCost < single.cost {
 			return split, nil
 		}
@@ -217,7 +239,10 @@
 	}
 	prefilled := float64(ps.req.PromptTokens-cached-transferred) + localMissRate*float64(cached) + remoteMissRate*float64(transferred)
 	p.nominalPrefill = nominalPrefillTime(s.Stage, prefilled, ps.req.PromptTokens)
-	p.prefillTime = ps.table.prefillPace(s).Estimate(p.nominalPrefill)
+	usualPrefill := ps.table.prefillPace(s).Estimate(p.nominalPrefill)
+	slowness := ps.table.slowness(ps.now, s)
+	p.prefillTime = time.Duration(slowness * float64(usualPrefill))
+	p.usualTime = usualPrefill + time.Duration(float64(p.queueTime)/slowness)
 	p.newTokens = ps.req.PromptTokens - cached
 	p.firstByte = p.queueTime + transfer + p.prefillTime + s.crossDomainCost(ps.req)
 	p.cost = p.firstByte + evictionCost(p.newTokens)
@@ -247,7 +272,8 @@
 func (ps *promptSearch) addHandoff(p *plan) {
 	tokens := ps.uncachedTokens(p.decoder)
 	p.transferTime = transferTime(ps.table.engines[p.server.Service], tokens, p.decoder.Domain != p.server.Domain)
-	p.handoffTime = ps.table.handoffPace(p.decoder).Estimate(p.transferTime)
+	p.usualHandoff = ps.table.handoffPace(p.decoder).Estimate(p.transferTime)
+	p.handoffTime = time.Duration(ps.table.slowness(ps.now, p.decoder) * float64(p.usualHandoff))
 	p.firstByte += p.handoffTime
 	p.cost += p.handoffTime
 }
@@ -264,7 +290,9 @@
 func (ps *promptSearch) decodeCost(s *server) time.Duration {
 	load := ps.table.loadOf(ps.now, s)
 	queueTime := min(s.queueTime(ps.now, load, false), maxDecodeQueue)
-	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
+	slower := ps.table.slowness(ps.now, s) - 1
+	slowCost := time.Duration(slower * float64(ps.table.handoffPace(s).Estimate(0)))
+	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + slowCost + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
 }
 
 // commit assigns the request to the servers of a plan.
@@ -276,7 +304,7 @@
 		c.PrefixSource = p.prefixSource.Address
 	}
 	t.recordInsert(p.server, ps.prefixes, p.newTokens)
-	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, late: p.late})
+	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, usualTime: p.usualTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
 		return c
@@ -293,6 +321,7 @@
 		handoff:      true,
 		transferTime: p.transferTime,
 		handoffTime:  p.handoffTime,
+		usualTime:    p.usualHandoff,
 		prefixes:     ps.prefixes,
 		newTokens:    ps.uncachedTokens(p.decoder),
 	})
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -34,6 +34,7 @@
 	cancel   context.CancelFunc
 	events   int       // of this response that have been received
 	recorded time.Time // when the progress was last recorded
+	lastAt   time.Time // when the latest event was received
 }
 
 // forwardBuffered reads the whole response before it forwards it. The caller never
@@ -68,6 +69,7 @@
 	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
 	next := stall.stop(broken)
+	j.longestPause = max(j.longestPause, stall.longestPause)
 	switch {
 	case !broken && next != nil: // was given up in the moment of its end
 		next.drop(placement.Canceled)
@@ -136,12 +138,18 @@
 // countEvents counts events that have been received, and records the progress of the
 // answer now and then.
 func (f *responseForwarder) countEvents(n int) {
+	if n == 0 {
+		return
+	}
 	now := time.Now()
-	if f.events == 0 && n > 0 {
+	if f.events == 0 {
 		f.job.countRun(now)
+	} else {
+		f.ticket.EventGap(now, now.Sub(f.lastAt)/time.Duration(n))
 	}
 	f.events += n
-	if n > 0 && now.Sub(f.recorded) >= progressInterval {
+	f.lastAt = now
+	if now.Sub(f.recorded) >= progressInterval {
 		f.recorded = now
 		f.ticket.Progress(now)
 		f.job.recordProgress(now, f.events)
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -63,6 +63,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	r := &Relay{
+		link: newLinkMeter(0),
 		host: &kernel.Host{}, log: logrus.NewEntry(logger), metrics: &relayMetrics{set: metrics.NewSet()},
 		placement: placement.New(), retryBudget: budget.New(limit), quarantine: quarantine.New(),
 		upstream: upstream.New(upstream.Options{DialTimeout: time.Second}), dialect: headerDialect{}, routeView: routes.NewView(),
