Let prompts share engines that decode only as far as streams bear it

The route's longest pause wasn't read from the manifest. Change, for requests of teams: the prefill time placed on a decoding engine by all relays in about one pause is bounded by that pause, half as much beside chats. Also wired: shares of teams, a deeper queue in time for teams that get what they ask for, and the returns of refused callers with counters and log fields.

--- a/internal/teams/share/share.go
+++ b/internal/teams/share/share.go
@@ -46,7 +46,11 @@
 	quietInterval    = 10 * averagingTime     // after which a rate is nearly 0
 	initialCredit    = 0.5                    // so that a team's first request beyond its share waits as long on average as later ones
 	defaultWeight    = 1.0
-	tightWait        = 0.5 // of the usual wait, for requests of teams that ask for more than their share
+	// Parts of the usual wait that requests may have under pressure: those of teams that
+	// get what they ask for, and those within the share of teams that ask for more. The
+	// difference is room that the queue keeps for the former.
+	roomyWait = 1.3
+	tightWait = 1.0
 )
 
 type (
@@ -131,9 +135,9 @@
 }
 
 // Allow counts what a request asks for, and returns the part of the usual wait that the
-// request may have: all of it if there is no pressure or the team gets what it asks for;
-// tightWait if the request is within the share of a team that asks for more, so that the
-// queue always has room for the others; and 0 if it is beyond the share.
+// request may have: all of it if there is no pressure; roomyWait if the team gets what it
+// asks for; tightWait if the request is within the share of a team that asks for more; and
+// 0 if it is beyond the share.
 func (t *Table) Allow(now time.Time, ask Ask) float64 {
 	s := t.service(ask.Service)
 	key := claimant{ask.Team, ask.Rank}
@@ -152,7 +156,7 @@
 		t.divide(now, ask.Service, s)
 	}
 	if c.fraction >= 1 {
-		return 1
+		return roomyWait
 	}
 	if c.credit += c.fraction; c.credit < 1 {
 		return 0
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -28,13 +28,13 @@
 
 // Loads returns the load that this relay puts on each server. Servers without
 // active requests are omitted.
-func (t *Table) Loads() []Load {
+func (t *Table) Loads(now time.Time) []Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Load
 	for _, s := range t.servers {
-		if s.active > 0 {
-			list = append(list, Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats})
+		if recent := s.recent.now(now).Truncate(time.Millisecond); s.active > 0 || recent > 0 {
+			list = append(list, Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats, Recent: recent})
 		}
 	}
 	return list
@@ -125,6 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.peerLoads, relay)
+	t.shares.RemovePeer(relay)
 }
 
 // recordInsert records that a server inserts a prompt into its cache, and keeps
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,12 +33,15 @@
 		PromptTokens int             // of the whole prompt
 		MaxTokens    int             // limit of the response's tokens; 0 if unknown
 		Class        string          // class of similar requests, whose averages this one is compared with
+		Team         string          // of the caller; empty for none
+		Rank         int             // of the request, by its team and route; 0 is the highest
 		Excluded     map[string]bool // IDs of servers not to use
 		SingleEngine bool            // use one engine for both prefill and decoding
 
-		ObjectiveLeft time.Duration // time left of the latency objective; 0 or less if it's already missed
-		TimeLeft      time.Duration // time until the caller needs the complete response
-		MustPlace     bool          // place the request however long it would wait
+		PauseObjective time.Duration // longest pause between two events of the response; 0 if any is allowed
+		ObjectiveLeft  time.Duration // time left of the latency objective; 0 or less if it's already missed
+		TimeLeft       time.Duration // time until the caller needs the complete response
+		MustPlace      bool          // place the request however long it would wait
 	}
 
 	// Choice tells where a request goes. Prefiller, if set, prefills the prompt,
@@ -51,6 +54,8 @@
 		QueueTime    time.Duration // expected time until processing begins
 		FirstByte    time.Duration // expected time to the first byte of the response
 		Slack        time.Duration // time that the request can wait in queues without missing its latency objective
+		Room         time.Duration // of a prompt that is refused: until the queue has room for it if nothing else arrives
+		Spacing      time.Duration // the same: from then on, in which the queue has room for one more
 	}
 
 	// Outcome tells how a request ended at the server of a ticket.
@@ -65,11 +70,12 @@
 	// Load is the load that one relay puts on a server: its requests that
 	// haven't ended yet.
 	Load struct {
-		Server  string        `cbor:"1,keyasint"` // ID
-		Pending time.Duration `cbor:"2,keyasint"` // expected prefill time still to be done, without Late
-		Active  int           `cbor:"3,keyasint"` // number of requests
-		Chats   int           `cbor:"4,keyasint"` // number of these that are chats
-		Late    time.Duration `cbor:"5,keyasint"` // expected prefill time still to be done for late requests, which yield to the others
+		Server  string        `cbor:"1,keyasint"`           // ID
+		Pending time.Duration `cbor:"2,keyasint"`           // expected prefill time still to be done, without Late
+		Active  int           `cbor:"3,keyasint"`           // number of requests
+		Chats   int           `cbor:"4,keyasint"`           // number of these that are chats
+		Recent  time.Duration `cbor:"6,keyasint,omitempty"` // prefill time placed in about the last 200 ms, on an engine that decodes
+		Late    time.Duration `cbor:"5,keyasint"`           // expected prefill time still to be done for late requests, which yield to the others
 	}
 
 	// Ticket is a request's assignment to one server. End must be called once.
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -80,14 +80,15 @@
 func (t *Table) choosePrompt(now time.Time, req Request, candidates []*server) (Choice, error) {
 	ps := &promptSearch{table: t, now: now, req: req, prefixes: req.prefixHashes(), candidates: candidates}
 	ps.prefixSource = ps.findPrefixSource()
-	class := t.class(req)
+	class, work := t.class(req), ps.uncachedPrefillTime()
 	if req.ObjectiveLeft > 0 || req.MustPlace {
 		p, err := ps.bestPlan(false)
 		if err != nil {
 			return Choice{}, err
 		}
-		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, class.waitFactor(req, ps.uncachedPrefillTime())) {
+		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, class.waitFactor(req, work)*t.allowedWait(now, req, work, p)) {
 			class.recordServed(req, 1)
+			t.recordGiven(now, req, work)
 			return ps.commit(p), nil
 		}
 	}
@@ -95,11 +96,13 @@
 	if err != nil {
 		return Choice{}, err
 	}
+	t.press(now, req, p)
 	if !req.usefulWhenLate(p.firstByte) {
 		class.recordServed(req, 0)
-		return Choice{}, errTooLate(req, p.queueTime)
+		return req.returnChoice(p, work, len(candidates)), errTooLate(req, p.queueTime)
 	}
 	class.recordServed(req, lateServedCredit)
+	t.recordGiven(now, req, work)
 	return ps.commit(p), nil
 }
 
@@ -140,7 +143,7 @@
 // usefulWhenLate reports whether a response that begins after firstByte can be
 // complete before the caller's deadline.
 func (r *Request) usefulWhenLate(firstByte time.Duration) bool {
-	return firstByte < time.Duration(maxLateFraction*float64(r.TimeLeft))
+	return firstByte < time.Duration(r.lateFraction()*float64(r.TimeLeft))
 }
 
 func errTooLate(req Request, queueTime time.Duration) error {
@@ -178,7 +181,7 @@
 			}
 			continue
 		}
-		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) {
+		if (single.server == nil || p.cost < single.cost) && (!late || p.chats == 0) && !ps.table.breaksPauses(ps.now, s, ps.req, p.prefillTime, p.chats) {
 			single = p
 		}
 	}
--- a/placement/table.go
+++ b/placement/table.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/engines/pace"
+	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -23,6 +24,7 @@
 		classes      map[string]*class              // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
+		shares       *share.Table               // of the engines' time, by team
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -36,6 +38,7 @@
 		chats           int           // number of active that are chats
 		pending         time.Duration // expected prefill time of this relay's requests whose responses haven't begun, without latePending
 		latePending     time.Duration // the same for late requests
+		recent          recentPrefill // of this relay's requests, on an engine that decodes
 		queueWait       time.Duration // wait beyond the expected queue, moving average as of queueWaitAt
 		queueWaitAt     time.Time
 		latency         time.Duration // of requests to the first byte, moving average
@@ -60,6 +63,7 @@
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
+		shares:       share.New(equalWeights{}),
 	}
 }
 
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"endivedeck.example/roster"
 )
 
 const (
@@ -26,6 +28,9 @@
 	if tk.chat {
 		s.chats++
 	}
+	if req.PauseObjective > 0 && req.Team != "" && s.Stage != roster.Prefill && !job.handoff && !tk.chat {
+		s.recent.add(now, job.prefillTime)
+	}
 	if s.lastSeen.IsZero() {
 		s.lastSeen = now
 	}
--- a/relay/clientretry.go
+++ b/relay/clientretry.go
@@ -41,8 +41,9 @@
 
 // isRetry records the timeout of a request and reports whether it is shorter
 // than the longest on its route by more than timeoutSpread. The caller was then
-// refused before, and the latency objective can't be met any more.
-func (d *retryDetector) isRetry(now time.Time, route string, timeout time.Duration) bool {
+// refused before, and the latency objective can't be met any more. waited is about
+// the time since the caller's first attempt.
+func (d *retryDetector) isRetry(now time.Time, route string, timeout time.Duration) (waited time.Duration, retry bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.routes[route]
@@ -59,7 +60,11 @@
 		l.windowStart = now
 	}
 	l.current = max(l.current, timeout)
-	return timeout < time.Duration((1-timeoutSpread)*float64(max(l.current, l.previous)))
+	longest := max(l.current, l.previous)
+	if timeout >= time.Duration((1-timeoutSpread)*float64(longest)) {
+		return 0, false
+	}
+	return longest - timeout, true
 }
 
 // retain removes the routes that are not among names.
--- a/relay/clientretry_test.go
+++ b/relay/clientretry_test.go
@@ -24,11 +24,11 @@
 		{42 * time.Second, 800 * time.Millisecond, false}, // the longer timeouts are two windows old
 		{200 * time.Second, 500 * time.Millisecond, false},
 	} {
-		if got := d.isRetry(start.Add(c.at), "notes", c.timeout); got != c.want {
+		if _, got := d.isRetry(start.Add(c.at), "notes", c.timeout); got != c.want {
 			t.Errorf("at %v, timeout %v: got %v, want %v", c.at, c.timeout, got, c.want)
 		}
 	}
-	if d.isRetry(start, "orders", 300*time.Millisecond) {
+	if _, retry := d.isRetry(start, "orders", 300*time.Millisecond); retry {
 		t.Error("first request on another route is reported as a retry")
 	}
 	d.retain(map[string]bool{"orders": true})
--- a/relay/control.go
+++ b/relay/control.go
@@ -93,6 +93,7 @@
 		names := r.routeView.RouteNames()
 		r.placement.Configure(r.routeView.Engines(), names)
 		r.retryDetector.retain(names)
+		r.returns.retain(services(*update.Routes))
 		r.log.WithField("version", update.Routes.Version).WithField("routes", len(update.Routes.Routes)).
 			WithField("control", from).Info("routes in force")
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -164,6 +164,11 @@
 		j.response.sendHeader(j.relay.dialect, f.resp.Status, f.resp.Header)
 	}
 	j.position.advance(ids)
+	now := time.Now()
+	if !j.lastEvent.IsZero() {
+		j.longestPause = max(j.longestPause, now.Sub(j.lastEvent))
+	}
+	j.lastEvent = now
 	if err := j.response.write(events); err != nil {
 		j.response.aborted = true
 		f.endTicket(placement.Canceled, 0)
--- a/relay/job.go
+++ b/relay/job.go
@@ -53,6 +53,7 @@
 	tried         map[string]bool // IDs of the servers that the request was sent to
 	colocated     bool            // prefill and decode must run on the same server
 	clientRetry   bool            // the caller retries a request that was refused
+	waited        time.Duration   // about the time since the caller's first attempt, if clientRetry is set
 	buffers       bufferShare     // of the latest response
 	placed        bool            // the latest attempt has found a server
 	sends         int             // attempts so far; a prefill and the send after it count as one
@@ -62,6 +63,8 @@
 	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
 
+	lastEvent       time.Time        // when events of the answer were last forwarded
+	longestPause    time.Duration    // between two of these
 	timeToFirstByte time.Duration    // from the start of the request; 0 before the first byte
 	choice          placement.Choice // the latest
 	serverID        string
@@ -187,10 +190,11 @@
 	}
 	request := j.placementRequest(now)
 	choice, err := j.relay.placement.Choose(now, request)
+	j.choice = choice
 	if err != nil {
 		return err
 	}
-	j.choice, j.placed = choice, true
+	j.placed = true
 	if j.sends == 0 {
 		j.relay.retryBudget.CountRequest(now, j.service)
 	}
@@ -217,18 +221,25 @@
 
 // placementRequest returns the request as package placement needs it.
 func (j *job) placementRequest(now time.Time) placement.Request {
+	team := ""
+	if j.team != nil {
+		team = j.team.Name
+	}
 	return placement.Request{
-		Service:       j.service,
-		Domain:        j.relay.host.Process.FailureDomain,
-		Prompt:        j.info.Prompt,
-		PromptTokens:  j.info.PromptTokens,
-		MaxTokens:     j.info.MaxTokens,
-		Class:         j.route.Name,
-		Excluded:      j.tried,
-		SingleEngine:  j.colocated,
-		ObjectiveLeft: j.objectiveLeft(now),
-		TimeLeft:      j.deadline.Sub(now),
-		MustPlace:     j.sends > 0 || j.route.Kind != routes.Stream,
+		Team:           team,
+		Rank:           j.route.Rank(j.team),
+		PauseObjective: j.route.PauseObjective,
+		Service:        j.service,
+		Domain:         j.relay.host.Process.FailureDomain,
+		Prompt:         j.info.Prompt,
+		PromptTokens:   j.info.PromptTokens,
+		MaxTokens:      j.info.MaxTokens,
+		Class:          j.route.Name,
+		Excluded:       j.tried,
+		SingleEngine:   j.colocated,
+		ObjectiveLeft:  j.objectiveLeft(now),
+		TimeLeft:       j.deadline.Sub(now),
+		MustPlace:      j.sends > 0 || j.route.Kind != routes.Stream,
 	}
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -34,6 +34,9 @@
 		return
 	}
 	j.relay.metrics.countRequest(j.route.Kind, status, j.timeToFirstByte, total)
+	if j.team != nil {
+		j.relay.metrics.countReturn(j, status, total)
+	}
 	fields["route"] = j.route.Name
 	if j.team != nil {
 		fields["team"] = j.team.Name
@@ -49,17 +52,30 @@
 	}
 	if j.clientRetry {
 		fields["back"] = true
+		fields["waited"] = j.waited.Milliseconds()
+	}
+	if impliesNotRun(status) {
+		fields["return"] = j.response.retryAfter.Milliseconds()
 	}
 	if j.choice.PrefixSource != "" {
 		fields["source"] = j.choice.PrefixSource
 	}
 	fields["first"] = j.timeToFirstByte.Milliseconds()
+	if j.longestPause > 0 {
+		fields["pause"] = j.longestPause.Milliseconds()
+	}
 	if !j.deadline.IsZero() {
 		fields["allowed"] = j.deadline.Sub(j.start).Milliseconds()
 	}
 	if j.info.PromptTokens > 0 {
 		fields["tokens"] = j.info.PromptTokens
 	}
+	if j.info.MaxTokens > 0 {
+		fields["limit"] = j.info.MaxTokens
+	}
+	if j.position.events > 0 {
+		fields["answer"] = j.position.events
+	}
 	if len(j.parts) > 0 {
 		fields["parts"] = formatParts(j.parts)
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -34,6 +34,22 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_whole_seconds{kind=%q}`, kind)).Update(total.Seconds())
 }
 
+// countReturn counts a request of a team that is refused, and one of a caller that has
+// come back after a refusal.
+func (m *relayMetrics) countReturn(j *job, status int, total time.Duration) {
+	if impliesNotRun(status) {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`relay_refusals_total{kind=%q,team=%q}`, j.route.Kind, j.team.Name)).Inc()
+	}
+	if !j.clientRetry {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_returns_total{kind=%q,team=%q,result=%q}`, j.route.Kind, j.team.Name, returnResult(status))).Inc()
+	if j.timeToFirstByte > 0 {
+		total = j.timeToFirstByte
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_return_seconds{kind=%q}`, j.route.Kind)).Update((j.waited + total).Seconds())
+}
+
 // countServerEnd counts a request whose connection a server of the service broke
 // before the answer was whole.
 func (m *relayMetrics) countServerEnd(service string) {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivedeck.example/internal/fleet/shard"
+	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/wire"
@@ -88,9 +89,10 @@
 	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
 	var nextDeparture uint64
+	var sharesSentAt time.Time
 	for {
 		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
-		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads()}
+		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: p.relay.placement.Loads(time.Now())}
 		loads.CacheInserts, next = p.relay.placement.CacheInserts(next)
 		loads.CacheListings, nextListing = p.relay.cacheSurvey.since(nextListing)
 		loads.CacheInserts = append(inserts, loads.CacheInserts...)
@@ -99,7 +101,10 @@
 		loads.Evidence = append(evidence, loads.Evidence...)
 		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty {
+		if now := time.Now(); now.Sub(sharesSentAt) >= share.ReportInterval {
+			loads.Shares, sharesSentAt = p.relay.placement.ShareReports(now), now
+		}
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Shares) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -149,6 +154,9 @@
 			r.applyServers(now, loads.Relay)
 		}
 		r.placement.UpdatePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
+		if len(loads.Shares) > 0 {
+			r.placement.UpdateShares(now, loads.Relay, loads.Shares)
+		}
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,6 +88,7 @@
 		roster        *roster.Roster
 		placement     *placement.Table
 		retryDetector *retryDetector
+		returns       *returnCalendar
 		retryBudget   *budget.Budget
 		cacheSurvey   *cacheSurvey
 		quarantine    *quarantine.Table
@@ -165,6 +166,7 @@
 		roster:        roster.New(settings.SilenceTimeout.Std()),
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
+		returns:       newReturnCalendar(),
 		quarantine:    quarantine.New(),
 		retryBudget: budget.New(budget.Limit{
 			Ratio:  settings.RetryRatio,
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// defaultRetryAfter is the Retry-After time. By then the prefill of late prompts
+	// defaultRetryAfter is the Retry-After time for callers without a team. By then the prefill of late prompts
 	// ahead of the request has finished, and the caller still has most of its
 	// time left.
 	defaultRetryAfter = 600 * time.Millisecond
@@ -41,6 +41,7 @@
 		err = r.runOnWorker(j)
 	}
 	if err != nil && !j.response.headerSent {
+		j.planReturn(err)
 		j.response.writeError(err)
 	}
 	j.logRequest(err)
@@ -136,7 +137,7 @@
 
 // runOnWorker runs j on a worker of the pool.
 func (r *Relay) runOnWorker(j *job) error {
-	j.clientRetry = r.retryDetector.isRetry(j.start, j.route.Name, j.timeout())
+	j.waited, j.clientRetry = r.retryDetector.isRetry(j.start, j.route.Name, j.timeout())
 	_ = j.response.controller.SetWriteDeadline(j.deadline.Add(writeMargin)) // otherwise a caller that doesn't read could block a worker
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
 	defer cancel()
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -46,6 +46,7 @@
 		MaxAttempts      int           `cbor:"8,keyasint"` // limit of backend servers that may run one request
 		Targets          []Target      `cbor:"9,keyasint"`
 		Priority         int           `cbor:"10,keyasint"`           // rank among the routes; 0 is the highest
+		PauseObjective   time.Duration `cbor:"12,keyasint,omitempty"` // longest pause between two events of a stream; 0 if any is allowed
 		Public           bool          `cbor:"11,keyasint,omitempty"` // requests need no key
 	}
 
