Take over chats that stall while the next event can still come in time

Change, for teams on routes with a longest pause: another server is asked after 0.65 to 0.8 of that pause, at the start after half of the objective; the running attempt still is given up only once the other has accepted. Beside chats a prompt fits only if it and what was placed in about one pause take 0.3 of the pause.

--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -10,7 +10,7 @@
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
 	maxPrefillPart = 1.1
-	chatsPart      = 0.5 // of that, beside chats, whose many events all have to come in time
+	chatsPart      = 0.3 // the same beside chats, whose many events all have to come in time
 
 	pauseHalfLife = 140 * time.Millisecond // of a prefill in recentPrefill
 )
@@ -49,9 +49,9 @@
 			recent += decayed(l.load.Recent, now.Sub(l.receivedAt))
 		}
 	}
-	budget := time.Duration(maxPrefillPart * float64(req.PauseObjective))
 	if chats > 0 {
-		budget = time.Duration(chatsPart * float64(budget))
+		return recent+prefill > time.Duration(chatsPart*float64(req.PauseObjective))
 	}
+	budget := time.Duration(maxPrefillPart * float64(req.PauseObjective))
 	return recent > 0 && recent+min(prefill, budget*3/4) > budget
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -65,7 +65,7 @@
 // another server accepts to go on with it, it goes on there.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
-	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
+	stall := newStallTimer(j, j.executions, j.stallWait(0), f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
 	next := stall.stop(broken)
 	switch {
--- a/relay/job.go
+++ b/relay/job.go
@@ -357,7 +357,7 @@
 	ticket := x.ticket
 	j.choice, j.serverID, j.attemptCtx = x.choice, ticket.Server.ID, x.ctx
 	j.tried[ticket.Server.ID] = true
-	start := newStallTimer(j, j.executions+1, streamStallTimeout+startDelayFactor*j.choice.FirstByte, x.cancel)
+	start := newStallTimer(j, j.executions+1, j.startWait(), x.cancel)
 	x.wait()
 	next := start.stop(x.err != nil)
 	switch {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -26,6 +26,13 @@
 	// can exceed the estimate, since other prompts overtake them.
 	startDelayFactor = 3
 
+	// Streams of teams whose route bounds the pause between events. Another server is asked
+	// while it can still send the next event in time, unless that has come too late before.
+	minStallPart   = 0.65 // of the bound
+	maxStallPart   = 0.8  // of the bound, for a stream that is slow all along
+	slowStall      = 1.3  // times the longest pause so far
+	startStallPart = 0.5  // of the latency objective, in addition to the expected time
+
 	takeoverInterval = 300 * time.Millisecond // from a refusal until a server is asked again
 	sendsKept        = 1                      // not used for takeovers, but kept for a stream that breaks
 )
@@ -71,6 +78,26 @@
 	return t
 }
 
+// stallWait returns how long a stream with the given longest pause may send no event before
+// another server is asked to go on with it.
+func (j *job) stallWait(longestPause time.Duration) time.Duration {
+	bound := j.route.PauseObjective
+	if j.team == nil || bound <= 0 || longestPause > bound {
+		return max(streamStallTimeout, stallFactor*longestPause)
+	}
+	wait := max(minStallPart*float64(bound), slowStall*float64(longestPause))
+	return time.Duration(min(wait, maxStallPart*float64(bound)))
+}
+
+// startWait returns how long the answer may not have begun before another server is asked.
+func (j *job) startWait() time.Duration {
+	expected := startDelayFactor * j.choice.FirstByte
+	if j.team == nil || j.route.PauseObjective <= 0 || j.objectiveLeft(time.Now()) <= 0 {
+		return streamStallTimeout + expected
+	}
+	return min(streamStallTimeout, time.Duration(startStallPart*float64(j.route.LatencyObjective))) + expected
+}
+
 // mayAsk reports whether the route allows that another server is asked.
 func (t *stallTimer) mayAsk(now time.Time) bool {
 	j := t.job
@@ -204,7 +231,7 @@
 	t.position = position
 	t.forwarding = false
 	if !t.stopped {
-		t.wait = max(streamStallTimeout, stallFactor*t.longestPause)
+		t.wait = t.job.stallWait(t.longestPause)
 		t.timer.Reset(t.wait)
 	}
 }
