--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -9,8 +9,8 @@
 const (
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
-	maxPrefillPart = 1.1
-	chatsPart      = 0.3 // the same beside chats, whose many events all have to come in time
+	maxPrefillPart = 1.25
+	chatsPart      = 0.4 // the same beside chats, whose many events all have to come in time
 
 	pauseHalfLife = 140 * time.Millisecond // of a prefill in recentPrefill
 )
