--- a/placement/placement.go
+++ b/placement/placement.go
@@ -74,7 +74,7 @@
 		Pending time.Duration `cbor:"2,keyasint"`           // expected prefill time still to be done, without Late
 		Active  int           `cbor:"3,keyasint"`           // number of requests
 		Chats   int           `cbor:"4,keyasint"`           // number of these that are chats
-		Recent  time.Duration `cbor:"6,keyasint,omitempty"` // prefill time placed in about the last 200 ms, on an engine that decodes
+		Recent  time.Duration `cbor:"8,keyasint,omitempty"` // prefill time placed in about the last 200 ms, on an engine that decodes
 		Late    time.Duration `cbor:"5,keyasint"`           // expected prefill time still to be done for late requests, which yield to the others
 	}
 
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return Choice{}, err
 		}
-		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, class.waitFactor(req, work)*t.allowedWait(now, req, work, p)) {
+		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, t.allowedWait(now, req, work, p, class.waitFactor(req, work))) {
 			class.recordServed(req, 1)
 			t.recordGiven(now, req, work)
 			return ps.commit(p), nil
--- a/placement/teams.go
+++ b/placement/teams.go
@@ -14,14 +14,22 @@
 func (equalWeights) Weight(string) float64 { return 1 }
 
 // allowedWait counts what a prompt asks for and returns the part of the usual wait that it
-// may have by the share of its team, see share.Table.Allow. p is the plan for a request
-// that goes with the others.
-func (t *Table) allowedWait(now time.Time, req Request, work time.Duration, p plan) float64 {
+// may have, by the share of its team and by its class, whose factor is given. p is the plan
+// for a request that goes with the others.
+func (t *Table) allowedWait(now time.Time, req Request, work time.Duration, p plan, classFactor float64) float64 {
 	if req.Team == "" {
-		return 1
+		return classFactor
 	}
 	t.press(now, req, p)
-	return t.shares.Allow(now, share.Ask{Service: req.Service, Team: req.Team, Rank: req.Rank, Work: work})
+	switch part := t.shares.Allow(now, share.Ask{Service: req.Service, Team: req.Team, Rank: req.Rank, Work: work}); {
+	case part > 1:
+		return part * max(classFactor, 1) // the queue keeps room for these, whatever their class
+	case part < 1:
+		return 0
+	case t.shares.Pressed(now, req.Service):
+		return min(classFactor, 1)
+	}
+	return classFactor
 }
 
 // press records that there is too little room, if the request would wait for long.
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -272,3 +272,33 @@
 		t.Errorf("got %d bytes held after all responses have ended, want none", got)
 	}
 }
+
+// TestStallWait checks how long a stream may be silent until another server is asked. Where a
+// team's route bounds the pause, that is soon enough for the next event to come in time; a
+// sound stream that is slow all along is given more, and one that is late already the usual
+// time.
+func TestStallWait(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		team                 bool
+		bound, longest, want time.Duration
+	}{
+		{true, 200 * ms, 0, 130 * ms},
+		{true, 200 * ms, 90 * ms, 130 * ms},
+		{true, 200 * ms, 110 * ms, 143 * ms},
+		{true, 200 * ms, 190 * ms, 160 * ms},
+		{true, 200 * ms, 250 * ms, 900 * ms},
+		{true, 0, 90 * ms, 900 * ms},
+		{false, 200 * ms, 90 * ms, 900 * ms},
+		{false, 200 * ms, 500 * ms, 1500 * ms},
+	} {
+		j := newRetryingJob(t, budget.Limit{})
+		j.route.PauseObjective = c.bound
+		if c.team {
+			j.team = &routes.Team{Name: "a"}
+		}
+		if got := j.stallWait(c.longest); got != c.want {
+			t.Errorf("team %v, bound %v, longest pause %v: got %v, want %v", c.team, c.bound, c.longest, got, c.want)
+		}
+	}
+}
--- a/relay/team_test.go
+++ b/relay/team_test.go
@@ -111,3 +111,36 @@
 	}
 	golden.Check(t, "strict.golden", got.String())
 }
+
+// TestReturnOfTeams refuses requests of teams that no server takes. Each caller is
+// told another time, none more than a third of its time, and one without a team is told the
+// usual time.
+func TestReturnOfTeams(t *testing.T) {
+	list := oneRoute(routes.Idempotent, 1, false)
+	public := list[0]
+	public.Name, public.Prefix, public.Public = "open", "/open/", true
+	b := newTestbed(t, list, &backendServer{name: "a", script: []string{notExecuted}})
+	b.installTeams(6, []routes.Route{list[0], public}, routes.Team{Name: "a", KeyHashes: []string{contract.HashKey("k1")}})
+	b.waitFor("the routes are in force", func() bool {
+		return strings.HasPrefix(b.send("GET", "/none/", "", ""), "404") && strings.HasPrefix(b.send("POST", "/a/", "Api-Key: none\r\n", ""), "401")
+	})
+	const timeout = 0.9 // seconds
+	told := map[string]bool{}
+	for range 8 {
+		response := b.send("POST", "/a/", "Api-Key: k1\r\nDeadline-Ms: 900\r\n", "x")
+		var after float64
+		if _, err := fmt.Sscanf(response, "503 Retry-After=%g", &after); err != nil {
+			t.Fatalf("got %s: %v", response, err)
+		}
+		if after <= 0 || after > timeout/3 {
+			t.Errorf("got %v s, want more than 0 and at most a third of %v s", after, timeout)
+		}
+		told[response] = true
+	}
+	if len(told) < 8 {
+		t.Errorf("got %d different times, want 8", len(told))
+	}
+	if got, want := b.send("POST", "/open/", "Deadline-Ms: 900\r\n", "x"), "503 Retry-After=0.6"; !strings.HasPrefix(got, want) {
+		t.Errorf("without a team: got %s, want %s", got, want)
+	}
+}
