--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -9,8 +9,9 @@
 const (
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
-	maxPrefillPart = 1.25
-	chatsPart      = 0.4 // the same beside chats, whose many events all have to come in time
+	maxPrefillPart = 0.8
+	pressedPart    = 1.25 // the same while there is too little room: late events of a few are better than refusing more
+	chatsPart      = 0.4  // the same beside chats, whose many events all have to come in time
 
 	pauseHalfLife = 140 * time.Millisecond // of a prefill in recentPrefill
 )
@@ -52,6 +53,10 @@
 	if chats > 0 {
 		return recent+prefill > time.Duration(chatsPart*float64(req.PauseObjective))
 	}
-	budget := time.Duration(maxPrefillPart * float64(req.PauseObjective))
+	part := maxPrefillPart
+	if t.shares.Pressed(now, req.Service) {
+		part = pressedPart
+	}
+	budget := time.Duration(part * float64(req.PauseObjective))
 	return recent > 0 && recent+min(prefill, budget*3/4) > budget
 }
