--- a/command/serve.go
+++ b/command/serve.go
@@ -71,6 +71,7 @@
 		runtime.GOMAXPROCS(process.MaxCores)
 	}
 	debug.SetMemoryLimit(process.SoftMemoryLimit())
+	debug.SetGCPercent(process.GCPercent)
 	if err := redirectLibraryLog(process, logOutput); err != nil {
 		return reportError(err)
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -30,6 +30,7 @@
 const DefaultMemory = 1024
 
 const (
+	defaultGCPercent   = 100
 	defaultWorkers     = 256
 	defaultStopTimeout = 30 * time.Second
 )
@@ -90,6 +91,7 @@
 		Backlog       int                         `json:"backlog" range:"0..1048576"`
 		MaxCores      int                         `json:"cores" range:"0..1024"`     // maximum number of cores used at the same time; 0 for all
 		MaxMemory     int                         `json:"memory" range:"0..1048576"` // memory that the process may use, in MB; 0 for DefaultMemory
+		GCPercent     int                         `json:"gc" range:"10..1000"`       // growth of the heap until the next collection, in percent of what is in use
 		StopTimeout   settings.Duration           `json:"stopTime" range:"100ms..1h"`
 		LogLevel      string                      `json:"logLevel"`
 		Sections      map[string]settings.Section `json:"*"`
@@ -134,6 +136,7 @@
 	return ProcessSettings{
 		Workers:     defaultWorkers,
 		Backlog:     defaultWorkers,
+		GCPercent:   defaultGCPercent,
 		StopTimeout: settings.Duration(defaultStopTimeout),
 		LogLevel:    "info",
 	}
