--- a/message/message.go
+++ b/message/message.go
@@ -11,6 +11,7 @@
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/prompts/quarantine"
+	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/internal/usage/meter"
 	"endivedeck.example/order"
 	"endivedeck.example/placement"
@@ -174,13 +175,14 @@
 	// RelayLoads reports to other relays how much load one relay has placed on
 	// each backend server.
 	RelayLoads struct {
-		Relay   string           `cbor:"1,keyasint"` // address of the relay
+		Relay   string           `cbor:"1,keyasint"`           // address of the relay
 		Servers []placement.Load `cbor:"2,keyasint,omitempty"` // loads that have changed since the previous message of the call
 
 		CacheInserts  []placement.CacheInsert  `cbor:"3,keyasint,omitempty"` // prompts placed since the previous message
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
 		Departures    []roster.Observation     `cbor:"6,keyasint,omitempty"` // backend servers that leave, learned since the previous message
+		Shares        []share.Report           `cbor:"8,keyasint,omitempty"` // what teams ask of services under pressure
 	}
 
 	// RelayUpdate is an update for a relay. The first one of a subscription has
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -34,9 +34,9 @@
 	defer t.mu.Unlock()
 	var list []Load
 	for _, s := range t.servers {
-		l := Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats}
+		l := Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats, Recent: s.recent.now(now).Truncate(time.Millisecond)}
 		s.tellSpeed(now, &l)
-		if l.Active > 0 || l.Samples > 0 {
+		if l.Active > 0 || l.Samples > 0 || l.Recent > 0 {
 			list = append(list, l)
 		}
 	}
@@ -177,6 +177,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.peerLoads, relay)
+	t.shares.RemovePeer(relay)
 }
 
 // recordInsert records that a server inserts a prompt into its cache, and keeps
--- a/placement/table.go
+++ b/placement/table.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/engines/pace"
+	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -25,6 +26,7 @@
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[engineKind]usualSpeed
 		gaps         map[engineKind]typicalGap
+		shares       *share.Table // of the engines' time, by team
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -38,6 +40,7 @@
 		chats           int           // number of active that are chats
 		pending         time.Duration // expected prefill time of this relay's requests whose responses haven't begun, without latePending
 		latePending     time.Duration // the same for late requests
+		recent          recentPrefill // of this relay's requests, on an engine that decodes
 		queueWait       time.Duration // wait beyond the expected queue, moving average as of queueWaitAt
 		queueWaitAt     time.Time
 		latency         time.Duration // of requests to the first byte, moving average
@@ -65,6 +68,7 @@
 		handoffPaces: map[engineKind]*pace.Model{},
 		usualSpeeds:  map[engineKind]usualSpeed{},
 		gaps:         map[engineKind]typicalGap{},
+		shares:       share.New(equalWeights{}),
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -66,10 +66,9 @@
 // another server accepts to go on with it, it goes on there.
 func (f *responseForwarder) forwardStream() error {
 	j := f.job
-	stall := newStallTimer(j, j.executions, streamStallTimeout, f.cancel)
+	stall := newStallTimer(j, j.executions, j.stallWait(0), f.cancel)
 	broken, err := f.forwardUntilEnd(stall)
 	next := stall.stop(broken)
-	j.longestPause = max(j.longestPause, stall.longestPause)
 	switch {
 	case !broken && next != nil: // was given up in the moment of its end
 		next.drop(placement.Canceled)
@@ -172,6 +171,11 @@
 		j.response.sendHeader(j.relay.dialect, f.resp.Status, f.resp.Header)
 	}
 	j.position.advance(ids)
+	now := time.Now()
+	if !j.lastEvent.IsZero() {
+		j.longestPause = max(j.longestPause, now.Sub(j.lastEvent))
+	}
+	j.lastEvent = now
 	if err := j.response.write(events); err != nil {
 		j.response.aborted = true
 		f.endTicket(placement.Canceled, 0)
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivedeck.example/internal/fleet/shard"
+	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/placement"
@@ -102,6 +103,7 @@
 	var nextDeparture uint64
 	sent := map[string]placement.Load{}
 	size := float64(initialMessageBytes) // average
+	var sharesSentAt time.Time
 	for {
 		woken := p.relay.evidence.woken() // before the evidence is read, so that none is missed
 		loads := message.RelayLoads{Relay: p.relay.settings.PeerListen, Servers: placement.LoadChanges(sent, p.relay.placement.Loads(time.Now()))}
@@ -113,7 +115,10 @@
 		loads.Evidence = append(evidence, loads.Evidence...)
 		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty { // also without changes, to keep the loads in use
+		if now := time.Now(); now.Sub(sharesSentAt) >= share.ReportInterval {
+			loads.Shares, sharesSentAt = p.relay.placement.ShareReports(now), now
+		}
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Shares) > 0 || !lastEmpty { // also without changes, to keep the loads in use
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -176,6 +181,9 @@
 		} else {
 			r.placement.ChangePeer(now, loads.Relay, loads.Servers, loads.CacheInserts)
 		}
+		if len(loads.Shares) > 0 {
+			r.placement.UpdateShares(now, loads.Relay, loads.Shares)
+		}
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
