Limit the requests at servers that start or recover, where relay.ramp is set

Cause: placement sends every relay's next request to an empty server, and a relay whose first answers there were slow then leaves it alone. Change: placement.Pacer is the hook: a server without room is left out while another of its stage is there, and answers are passed on. Relays share reports in load messages. Off by default; without it placement goes the same way as before.

--- a/message/message.go
+++ b/message/message.go
@@ -10,6 +10,7 @@
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/internal/usage/meter"
 	"endivedeck.example/order"
@@ -181,6 +182,7 @@
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
 		Departures    []roster.Observation     `cbor:"6,keyasint,omitempty"` // backend servers that leave, learned since the previous message
+		Ramps         []ramp.Report            `cbor:"7,keyasint,omitempty"` // of servers that are paced
 	}
 
 	// RelayUpdate is an update for a relay. The first one of a subscription has
--- a/placement/chat.go
+++ b/placement/chat.go
@@ -55,7 +55,7 @@
 		return Choice{}, errTooLate(req, bestQueue)
 	}
 	return Choice{
-		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, nominalPrefill: nominal, queueTime: bestQueue}),
+		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, nominalPrefill: nominal, queueTime: bestQueue, expected: bestQueue + prefill}),
 		QueueTime: bestQueue,
 		FirstByte: bestQueue + prefill,
 	}, nil
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,6 +57,7 @@
 	Outcome struct {
 		Result    Result
 		FirstByte time.Duration // time from sending to the first byte of the response; 0 if none was received
+		Step      time.Duration // mean time between the events of a stream; 0 if unknown
 	}
 
 	// Result tells how a backend server handled a request.
@@ -78,8 +79,11 @@
 
 		table *Table
 		prefillJob
-		chat  bool
-		ended bool
+		chat       bool
+		ended      bool
+		assignedAt time.Time
+		objective  time.Duration // time left of the latency objective then
+		firstByte  time.Duration // 0 until the response has begun
 	}
 
 	// prefillJob is the expected work and cache use of a request at a server.
@@ -87,6 +91,7 @@
 		prefillTime    time.Duration // expected
 		nominalPrefill time.Duration // at the nominal rates; 0 if the KV cache is fetched from another engine
 		queueTime      time.Duration // expected, before the prefill
+		expected       time.Duration // time to the first byte; 0 if unknown
 		handoff        bool          // the server fetches the KV cache from the one that ran the prefill
 		transferTime   time.Duration // of the KV cache in a handoff, nominal
 		handoffTime    time.Duration // expected time until the response begins in a handoff
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -276,7 +276,7 @@
 		c.PrefixSource = p.prefixSource.Address
 	}
 	t.recordInsert(p.server, ps.prefixes, p.newTokens)
-	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, late: p.late})
+	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, expected: p.firstByte - p.handoffTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
 		return c
@@ -293,6 +293,7 @@
 		handoff:      true,
 		transferTime: p.transferTime,
 		handoffTime:  p.handoffTime,
+		expected:     p.handoffTime,
 		prefixes:     ps.prefixes,
 		newTokens:    ps.uncachedTokens(p.decoder),
 	})
--- a/placement/table.go
+++ b/placement/table.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/engines/pace"
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
 	"endivedeck.example/routes"
@@ -23,6 +24,7 @@
 		classes      map[string]*class              // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
+		pacer        Pacer                      // nil if servers aren't paced
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -39,6 +41,9 @@
 		queueWait       time.Duration // wait beyond the expected queue, moving average as of queueWaitAt
 		queueWaitAt     time.Time
 		latency         time.Duration // of requests to the first byte, moving average
+		paced           bool          // as of the latest decision
+		pace            ramp.Pace     // the same, if paced
+		step            time.Duration // between the events of a response, moving average; measured only with a pacer
 		errorRate       float64       // moving average as of errorRateAt
 		errorRateAt     time.Time
 		noResponseCount int       // number of requests in a row that got no response
@@ -185,18 +190,23 @@
 
 // candidates returns the servers of the request's service that are neither
 // excluded by the request nor paused nor in backoff. If all others are in backoff, it
-// returns these.
+// returns these. A server that is paced and has no room is left out while another of its
+// stage is there.
 func (t *Table) candidates(now time.Time, req Request) []*server {
-	var candidates, inBackoff []*server
+	room := t.newRoom(now)
+	var candidates, inBackoff, limited []*server
 	for _, s := range t.byService[req.Service] {
 		switch {
 		case req.Excluded[s.ID], now.Before(s.pausedUntil):
 		case now.Before(s.backoffUntil):
 			inBackoff = append(inBackoff, s)
+		case !room.left(s):
+			limited = append(limited, s)
 		default:
 			candidates = append(candidates, s)
 		}
 	}
+	candidates = withMissingStages(candidates, limited)
 	if len(candidates) == 0 {
 		return inBackoff
 	}
@@ -205,7 +215,7 @@
 
 // chooseByLatency selects the server with the lowest latencyCost.
 func (t *Table) chooseByLatency(now time.Time, req Request, candidates []*server) (Choice, error) {
-	const defaultLatency = 30 * time.Millisecond // of a server that hasn't responded yet
+	defaultLatency := t.defaultLatency(candidates)
 	best := slices.MinFunc(candidates, func(a, b *server) int {
 		return compareFloats(a.latencyCost(now, req, defaultLatency), b.latencyCost(now, req, defaultLatency))
 	})
@@ -222,7 +232,10 @@
 		crossDomainCost = float64(time.Millisecond) // added for another failure domain
 	)
 	latency := s.latency
-	if latency == 0 {
+	switch {
+	case s.paced:
+		latency = s.pacedLatency(defaultLatency)
+	case latency == 0:
 		latency = defaultLatency
 	}
 	cost := float64(latency) * float64(1+s.active) * (1 + errorWeight*s.currentErrorRate(now))
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -19,7 +19,7 @@
 
 // assign assigns a request to a server and returns its ticket.
 func (t *Table) assign(now time.Time, s *server, req Request, job prefillJob) *Ticket {
-	tk := &Ticket{Server: s.Server, table: t, prefillJob: job}
+	tk := &Ticket{Server: s.Server, table: t, prefillJob: job, assignedAt: now, objective: req.ObjectiveLeft}
 	tk.chat = len(req.Prompt) > 0 && req.isChat()
 	s.active++
 	*s.pendingPrefill(job.late) += job.prefillTime
@@ -94,6 +94,7 @@
 		}
 	}
 	tk.finishPrefill(now, s, firstByte)
+	tk.observeFirst(now, s, firstByte)
 }
 
 // finishPrefill removes the prefill from the server's pending time, and updates
@@ -151,6 +152,7 @@
 		s.chats = max(s.chats-1, 0)
 	}
 	s.recordOutcome(now, o)
+	tk.observeEnd(now, s, o)
 }
 
 func (s *server) recordOutcome(now time.Time, o Outcome) {
@@ -204,7 +206,7 @@
 
 func (s *server) updateLatency(sample time.Duration) {
 	switch {
-	case sample <= 0:
+	case sample <= 0 || s.paced:
 	case s.latency == 0:
 		s.latency = sample
 	default:
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -24,7 +24,7 @@
 	Request                    // relay: timers of one request
 	Admission                  // admission: current usage of each limit
 	Fleet                      // fleet: backend servers known to an entry
-	Backend                    // sidecar: state of its backend server, and sent orders
+	Backend                    // sidecar: state of its backend server, and sent orders; ramp: paced backend servers
 	Order                      // sidecar: entries that receive grants; entry: order attempts to be resolved
 	Stream                     // sidecar: resumable streams
 	Connection                 // wire: connections to other processes; upstream: connections to backend servers; gate: connections of callers
--- a/relay/control.go
+++ b/relay/control.go
@@ -114,6 +114,6 @@
 // the instance at address from has sent.
 func (r *Relay) applyServers(now time.Time, from string) {
 	servers := r.roster.Servers(now)
-	r.placement.SetServers(servers)
+	r.setServers(now, servers)
 	r.log.WithField("servers", len(servers)).WithField("control", from).Info("backend servers changed")
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -33,6 +33,8 @@
 	sentAt   time.Time
 	cancel   context.CancelFunc
 	events   int       // of this response that have been received
+	firstAt  time.Time // when the first of them were received
+	first    int       // number of these
 	recorded time.Time // when the progress was last recorded
 }
 
@@ -139,6 +141,7 @@
 	now := time.Now()
 	if f.events == 0 && n > 0 {
 		f.job.countRun(now)
+		f.firstAt, f.first = now, n
 	}
 	f.events += n
 	if n > 0 && now.Sub(f.recorded) >= progressInterval {
@@ -214,7 +217,16 @@
 }
 
 func (f *responseForwarder) endTicket(result placement.Result, firstByte time.Duration) {
-	f.ticket.End(time.Now(), placement.Outcome{Result: result, FirstByte: firstByte})
+	f.ticket.End(time.Now(), placement.Outcome{Result: result, FirstByte: firstByte, Step: f.step()})
+}
+
+// step returns the mean time between the events of the response, or 0 if only the first
+// ones have been received.
+func (f *responseForwarder) step() time.Duration {
+	if f.events <= f.first {
+		return 0
+	}
+	return time.Since(f.firstAt) / time.Duration(f.events-f.first)
 }
 
 // readAll reads the body of a response. It fails with fault.TooLarge if the body is
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/routes"
 )
@@ -23,6 +24,9 @@
 	set.NewGauge("relay_connections_opened_total", func() float64 { return float64(r.upstream.DialCount()) })
 	set.NewGauge("relay_quarantined_parts", func() float64 { return float64(r.quarantine.Count(quarantine.Quarantined)) })
 	set.NewGauge("relay_buffered_bytes", func() float64 { return float64(r.buffers.held.Load()) })
+	if r.ramps != nil {
+		set.NewGauge("relay_paced_servers", func() float64 { return float64(len(r.ramps.Paced())) })
+	}
 	return &relayMetrics{set: set}
 }
 
@@ -43,3 +47,8 @@
 func (m *relayMetrics) countRetry(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_again_total{reason=%q}`, reason)).Inc()
 }
+
+// countRamp counts a change of a server's pace.
+func (m *relayMetrics) countRamp(change ramp.ChangeKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_ramps_total{change=%q}`, change)).Inc()
+}
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -17,7 +17,7 @@
 	notice := r.dialect.ServerNotice(resp.Status, resp.Header)
 	now := time.Now()
 	if notice.Leaving && r.roster.MarkDraining(server.ID, server.StartedAt) {
-		r.placement.SetServers(r.roster.Servers(now))
+		r.setServers(now, r.roster.Servers(now))
 		r.log.WithField("server", server.ID).WithField("born", server.StartedAt).Info("backend server leaves, by its own response")
 	}
 	if notice.Invalid != "" && r.invalidPause.due(now) {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -40,6 +40,9 @@
 	if r.ctx.Err() != nil {
 		return
 	}
+	if r.ramps != nil {
+		r.ramps.SetRelays(addresses)
+	}
 	for address, p := range r.peers {
 		if !slices.Contains(addresses, address) {
 			p.cancel()
@@ -99,7 +102,10 @@
 		loads.Evidence = append(evidence, loads.Evidence...)
 		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures) > 0 || !lastEmpty {
+		if p.relay.ramps != nil {
+			loads.Ramps = p.relay.ramps.Reports()
+		}
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Ramps) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -152,6 +158,9 @@
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
+		if r.ramps != nil {
+			r.ramps.Merge(time.Now(), loads.Relay, loads.Ramps)
+		}
 		if len(loads.Evidence) > 0 {
 			r.evidence.notify(r.quarantine.Merge(time.Now(), loads.Evidence))
 			r.logTransitions()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/interval"
 	"endivedeck.example/kernel"
@@ -68,6 +69,7 @@
 		GracePeriod    settings.Duration `json:"grace" range:"0s..10m"`          // from the stop signal until the process is killed
 		Limits         gate.Limits       `json:"limits"`
 		Usage          UsageSettings     `json:"usage,omitzero"`
+		Ramp           bool              `json:"ramp"` // pace servers that start or recover
 
 		// RevocationLimit is how long the relay takes keys without word from a control
 		// instance that its routes are current; 0 for no limit.
@@ -93,6 +95,7 @@
 		quarantine    *quarantine.Table
 		evidence      *evidenceExchange
 		usage         *usageReporter // nil if usage isn't counted
+		ramps         *ramp.Fleet    // nil if servers aren't paced
 		buffers       bufferLimit
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
@@ -182,6 +185,10 @@
 	r.cacheSurvey = newCacheSurvey(r)
 	r.evidence = newEvidenceExchange(r)
 	r.usage = newUsageReporter(r, settings.Usage)
+	if settings.Ramp {
+		r.ramps = ramp.New(settings.PeerListen)
+		r.placement.SetPacer(r.ramps)
+	}
 	r.metrics = newRelayMetrics(host.Metrics, r)
 	return r, nil
 }
@@ -282,10 +289,11 @@
 }
 
 func (r *Relay) sweep(now time.Time) {
-	r.placement.SetServers(r.roster.Servers(now))
+	r.setServers(now, r.roster.Servers(now))
 	r.upstream.CloseExpired(now)
 	r.quarantine.Expire(now)
 	r.logTransitions()
+	r.logRamps()
 }
 
 // Ready reports whether the relay has received routes and is not stopping.
