Add the preview of a placement: the decision's own code, with its terms

Cause: an operator can't ask where a request would go now, and why. Change: Table.Preview runs choose for a request that records the terms of the servers and assigns nothing: tickets, cache insertions and averages of its class are left out.

--- a/placement/chat.go
+++ b/placement/chat.go
@@ -41,6 +41,7 @@
 		if queue > maxChatQueue {
 			fill++ // ranks behind all engines with a short queue
 		}
+		req.preview.fill(s, fill)
 		weight := s.rendezvousWeight(chatRendezvousKey)
 		if best == nil || fill < bestFill || fill == bestFill && weight > bestWeight {
 			best, bestQueue, bestFill, bestWeight = s, queue, fill, weight
--- a/placement/class.go
+++ b/placement/class.go
@@ -50,13 +50,19 @@
 	groupCount
 )
 
-// class returns the statistics of the request's class.
+// class returns the statistics of the request's class, or a copy for a preview.
 func (t *Table) class(req Request) *class {
 	c := t.classes[req.Class]
 	if c == nil {
 		size := req.size()
 		c = &class{meanSize: size, largeThreshold: size, largestThreshold: size, servedFraction: [groupCount]float64{1, 1, 1}}
-		t.classes[req.Class] = c
+		if req.preview == nil {
+			t.classes[req.Class] = c
+		}
+	}
+	if req.preview != nil {
+		kept := *c
+		return &kept
 	}
 	return c
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -39,6 +39,8 @@
 		ObjectiveLeft time.Duration // time left of the latency objective; 0 or less if it's already missed
 		TimeLeft      time.Duration // time until the caller needs the complete response
 		MustPlace     bool          // place the request however long it would wait
+
+		preview *Preview // records the terms of the decision; nil to place the request
 	}
 
 	// Choice tells where a request goes. Prefiller, if set, prefills the prompt,
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -224,6 +224,7 @@
 	if s.Stage != roster.Prefill {
 		p.cost += time.Duration(interferenceWeight * float64(load.active) * float64(p.prefillTime))
 	}
+	ps.req.preview.plan(p, cached, transferred)
 	return p
 }
 
@@ -236,7 +237,9 @@
 		if s.Stage == roster.Prefill {
 			continue
 		}
-		if cost := ps.decodeCost(s); best == nil || cost < bestCost {
+		cost := ps.decodeCost(s)
+		ps.req.preview.decode(s, cost)
+		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -275,7 +278,9 @@
 	if p.prefixSource != nil {
 		c.PrefixSource = p.prefixSource.Address
 	}
-	t.recordInsert(p.server, ps.prefixes, p.newTokens)
+	if ps.req.preview == nil {
+		t.recordInsert(p.server, ps.prefixes, p.newTokens)
+	}
 	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, expected: p.firstByte - p.handoffTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
--- a/placement/table.go
+++ b/placement/table.go
@@ -175,6 +175,11 @@
 func (t *Table) Choose(now time.Time, req Request) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.choose(now, req)
+}
+
+// choose is Choose. The caller must hold t.mu.
+func (t *Table) choose(now time.Time, req Request) (Choice, error) {
 	candidates := t.candidates(now, req)
 	if len(candidates) == 0 {
 		return Choice{}, fault.New(fault.Unavailable, fault.NotRun, "no backend server of service %q is available", req.Service)
@@ -197,18 +202,27 @@
 	var candidates, inBackoff, limited []*server
 	for _, s := range t.byService[req.Service] {
 		switch {
-		case req.Excluded[s.ID], now.Before(s.pausedUntil):
+		case req.Excluded[s.ID]:
+			req.preview.exclude(s, reasonExcluded, 0)
+		case now.Before(s.pausedUntil):
+			req.preview.exclude(s, reasonPaused, s.pausedUntil.Sub(now))
 		case now.Before(s.backoffUntil):
 			inBackoff = append(inBackoff, s)
+			req.preview.exclude(s, reasonBackoff, s.backoffUntil.Sub(now))
 		case !room.left(s):
 			limited = append(limited, s)
+			req.preview.exclude(s, reasonPaced, 0)
 		default:
 			candidates = append(candidates, s)
 		}
 	}
 	candidates = withMissingStages(candidates, limited)
 	if len(candidates) == 0 {
-		return inBackoff
+		candidates = inBackoff
+	}
+	for _, s := range candidates {
+		req.preview.exclude(s, "", 0)
+		req.preview.paced(s)
 	}
 	return candidates
 }
@@ -219,6 +233,11 @@
 	best := slices.MinFunc(candidates, func(a, b *server) int {
 		return compareFloats(a.latencyCost(now, req, defaultLatency), b.latencyCost(now, req, defaultLatency))
 	})
+	if req.preview != nil {
+		for _, s := range candidates {
+			req.preview.latency(s, s.latencyCost(now, req, defaultLatency))
+		}
+	}
 	cost := best.latencyCost(now, req, defaultLatency)
 	return Choice{Runner: t.assign(now, best, req, prefillJob{}), FirstByte: time.Duration(cost)}, nil
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -20,6 +20,10 @@
 // assign assigns a request to a server and returns its ticket.
 func (t *Table) assign(now time.Time, s *server, req Request, job prefillJob) *Ticket {
 	tk := &Ticket{Server: s.Server, table: t, prefillJob: job, assignedAt: now, objective: req.ObjectiveLeft}
+	if req.preview != nil {
+		tk.ended = true
+		return tk
+	}
 	tk.chat = len(req.Prompt) > 0 && req.isChat()
 	s.active++
 	*s.pendingPrefill(job.late) += job.prefillTime
