Add the command preview: where a relay would send a request now, and why

Cause: explain tells what became of a request; nothing told where one would go. Change: a relay serves previews beside its readiness check to operators that its settings name, and to nobody where they name none. Its steps are those of a request up to the placement; Table.Preview has the terms. Operators' accounts move to a package that control and relay share. Result: TestPreviewTellsTheServer: three kinds of requests go where the command says; TestPreviewIsGuarded: no key, another key, the callers' address and a relay without operators get no preview.

--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"endivedeck.example/change"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/operators/access"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/order"
@@ -64,10 +65,7 @@
 	}
 
 	// Operator is an account of the operator API.
-	Operator struct {
-		Name string `json:"name" need:"yes"`
-		Hash string `json:"hash" need:"yes"` // SHA-256 of the operator's key, in hex
-	}
+	Operator = access.Operator
 
 	// Founder is the address of an initial member of the replica group.
 	Founder struct {
--- a/control/http.go
+++ b/control/http.go
@@ -1,17 +1,16 @@
 package control
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/operators/access"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/settings"
@@ -73,17 +72,7 @@
 }
 
 func (o *operatorAPI) hasOperatorKey(r *http.Request) bool {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return false
-	}
-	hash := contract.HashKey(key)
-	for _, operator := range o.control.settings.OperatorKeys {
-		if subtle.ConstantTimeCompare([]byte(hash), []byte(operator.Hash)) == 1 {
-			return true
-		}
-	}
-	return false
+	return access.Find(o.control.settings.OperatorKeys, r) != nil
 }
 
 func (o *operatorAPI) health(w http.ResponseWriter, _ *http.Request) {
--- a/message/message.go
+++ b/message/message.go
@@ -185,6 +185,40 @@
 		Ramps         []ramp.Report            `cbor:"7,keyasint,omitempty"` // of servers that are paced
 	}
 
+	// PreviewRequest asks a relay where it would send a request now.
+	PreviewRequest struct {
+		Host     string              `json:"host"`
+		Path     string              `json:"path"`
+		Header   map[string][]string `json:"header,omitempty"` // as a caller sends it
+		Team     string              `json:"team,omitempty"`   // name; goes before a key in Header
+		Prompt   []PromptPart        `json:"prompt,omitempty"` // this and what follows go before what Header says
+		Tokens   int                 `json:"tokens,omitempty"` // of the whole prompt
+		Answer   int                 `json:"answer,omitempty"` // most tokens of the answer
+		LeftMs   int                 `json:"left,omitempty"`   // time until the caller needs the whole answer
+		Tried    []string            `json:"tried,omitempty"`  // IDs of servers that have had the request
+		Returned bool                `json:"returned"`         // the caller was refused before
+	}
+
+	// PromptPart is a part of a prompt.
+	PromptPart struct {
+		Name   string `json:"name"`
+		Tokens int    `json:"tokens"`
+	}
+
+	// PreviewResponse is where a relay would send a request, or why it would refuse it.
+	PreviewResponse struct {
+		Error     *fault.Error       `json:"error,omitempty"` // of the preview itself
+		Relay     string             `json:"relay"`           // instance
+		Version   uint64             `json:"version"`         // of the routes
+		Route     string             `json:"route,omitempty"`
+		Service   string             `json:"service,omitempty"`
+		Team      string             `json:"team,omitempty"`
+		Refusal   *fault.Error       `json:"refusal,omitempty"` // the error that the request would get
+		RetryMs   float64            `json:"retry,omitempty"`   // when the caller is asked to return
+		Leaving   []string           `json:"leaving,omitempty"` // IDs of servers that take no new requests
+		Placement *placement.Preview `json:"placement,omitempty"`
+	}
+
 	// RelayUpdate is an update for a relay. The first one of a subscription has
 	// everything but routes that the relay has already; each later one has what is new.
 	RelayUpdate struct {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -24,6 +24,8 @@
 		// ParseRequest parses the header of a caller's request.
 		ParseRequest(r *http.Request) (RequestInfo, error)
 
+		// PartID returns the ID of a part of prompts by the name that callers use.
+		PartID(name string) uint64
 		// RequestHeader returns the header of the request to a backend server.
 		RequestHeader(info *RequestInfo, opts SendOptions) http.Header
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -127,6 +127,11 @@
 		log.WithField("round", v.Round).Info("request tries a quarantined part of a prompt")
 		return nil
 	}
+	return j.rejectPart(v)
+}
+
+// rejectPart returns the error for a request with a quarantined part.
+func (j *job) rejectPart(v quarantine.Verdict) error {
 	j.quarantined = true
 	j.response.retryAfter = min(max(v.Wait, defaultRetryAfter), maxRetryAfter)
 	return fault.New(fault.Unavailable, fault.NotRun, "part %016x of the prompt is quarantined: %d servers have ended under requests with it; next trial in %v", v.Part, v.Ends, v.Wait)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
 	"endivedeck.example/internal/engines/ramp"
+	"endivedeck.example/internal/operators/access"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/interval"
 	"endivedeck.example/kernel"
@@ -69,7 +70,8 @@
 		GracePeriod    settings.Duration `json:"grace" range:"0s..10m"`          // from the stop signal until the process is killed
 		Limits         gate.Limits       `json:"limits"`
 		Usage          UsageSettings     `json:"usage,omitzero"`
-		Ramp           bool              `json:"ramp"` // pace servers that start or recover
+		Ramp           bool              `json:"ramp"`         // pace servers that start or recover
+		OperatorKeys   []access.Operator `json:"operatorKeys"` // of those who may ask for previews on ReadyListen
 
 		// RevocationLimit is how long the relay takes keys without word from a control
 		// instance that its routes are current; 0 for no limit.
@@ -133,6 +135,7 @@
 		SilenceTimeout: settings.Duration(5 * time.Second),
 		GracePeriod:    settings.Duration(8 * time.Second),
 		Limits:         limits,
+		OperatorKeys:   []access.Operator{},
 	}
 }
 
@@ -203,7 +206,7 @@
 	go r.run()
 	go r.cacheSurvey.run(r.ctx)
 	go r.evidence.run(r.ctx)
-	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
+	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, r.readyHandler(), r.settings.Limits, nil)
 	if err != nil {
 		return err
 	}
@@ -281,6 +284,9 @@
 // Address returns the address on which callers connect.
 func (r *Relay) Address() string { return r.callerServer.Address() }
 
+// ReadyAddress returns the address of the readiness check and of previews.
+func (r *Relay) ReadyAddress() string { return r.readyServer.Address() }
+
 // run removes servers that have timed out and closes expired idle connections
 // until the relay stops.
 func (r *Relay) run() {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -55,6 +55,20 @@
 	if !r.awaitRoutes(j) {
 		return fault.New(fault.Unavailable, fault.NotRun, "the relay has not received any routes yet")
 	}
+	if err := j.identify(); err != nil {
+		return err
+	}
+	if maxBytes := r.routeView.Limits().MaxBodyBytes; maxBytes > 0 {
+		j.request.Body = http.MaxBytesReader(j.response.w, j.request.Body, maxBytes)
+	}
+	var err error
+	j.body, err = gate.ReadBody(j.request)
+	return err
+}
+
+// identify finds the route, the team and the deadline of the request by its header.
+func (j *job) identify() error {
+	r := j.relay
 	path, _, _ := strings.Cut(j.request.RequestURI, "?")
 	j.route, j.routesVersion = r.routeView.Match(j.request.Host, path)
 	if j.route == nil {
@@ -69,14 +83,7 @@
 		return err
 	}
 	j.deadline = j.start.Add(j.timeout())
-	if err := j.checkStop(); err != nil {
-		return err
-	}
-	if maxBytes := r.routeView.Limits().MaxBodyBytes; maxBytes > 0 {
-		j.request.Body = http.MaxBytesReader(j.response.w, j.request.Body, maxBytes)
-	}
-	j.body, err = gate.ReadBody(j.request)
-	return err
+	return j.checkStop()
 }
 
 // findTeam finds the team of the request by its key. It fails if the route needs a key
--- a/routes/teams.go
+++ b/routes/teams.go
@@ -73,3 +73,16 @@
 
 // unfitForHeader reports whether a name with the rune can't be sent in a header.
 func unfitForHeader(r rune) bool { return r <= ' ' || r > unicode.MaxASCII || r == 0x7f }
+
+// TeamNamed returns the team with a name, or nil. The team is shared and must not be
+// modified.
+func (v *View) TeamNamed(name string) *Team {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, team := range v.teams {
+		if team.Name == name {
+			return team
+		}
+	}
+	return nil
+}
