--- a/internal/engines/ramp/ramp.go
+++ b/internal/engines/ramp/ramp.go
@@ -37,7 +37,7 @@
 	natureAnswers = 4 // answers in a row that don't hold at firstLimit, by which a server is slow by nature
 	lostAnswers   = 2 // requests without a response in a row, after which a server recovers
 
-	// A ramp ends at busyFactor times the requests of the busiest peer, but not
+	// A ramp ends at busyFactor times the mean number of requests at its peers, but not
 	// below leastEnd.
 	busyFactor = 2
 	leastEnd   = 8 // requests
@@ -92,7 +92,6 @@
 		Steady   int // number of servers in use that aren't paced
 		Paced    int // number of servers that are paced
 		Requests int // that run at the steady ones
-		Busiest  int // requests at the busiest steady one
 	}
 )
 
@@ -223,21 +222,25 @@
 	return Slow
 }
 
-// ratio returns the larger ratio of measured to expected times.
+// ratio returns the larger ratio of measured to expected times. Times shorter than the
+// slack aren't told apart.
 func (s *Sample) ratio() float64 {
 	ratio := 0.0
 	if s.ExpectedFirst > 0 {
-		ratio = float64(s.First) / float64(s.ExpectedFirst)
+		ratio = float64(s.First) / float64(max(s.ExpectedFirst, firstSlack))
 	}
 	if s.ExpectedStep > 0 {
-		ratio = max(ratio, float64(s.Step)/float64(s.ExpectedStep))
+		ratio = max(ratio, float64(s.Step)/float64(max(s.ExpectedStep, stepSlack)))
 	}
 	return ratio
 }
 
 // end returns the limit at which a ramp ends because it doesn't bind any more.
 func (p Peers) end() int {
-	end := max(busyFactor*p.Busiest, leastEnd)
+	end := leastEnd
+	if p.Steady > 0 {
+		end = max(busyFactor*p.Requests/p.Steady, leastEnd)
+	}
 	if p.Slots > 0 {
 		end = min(end, p.Slots)
 	}
--- a/internal/engines/ramp/ramp_test.go
+++ b/internal/engines/ramp/ramp_test.go
@@ -18,7 +18,7 @@
 
 var (
 	start = time.Unix(1_800_000_000, 0)
-	peers = ramp.Peers{Slots: 48, Steady: 10, Paced: 1, Requests: 100, Busiest: 14}
+	peers = ramp.Peers{Slots: 48, Steady: 10, Paced: 1, Requests: 100}
 )
 
 // newFleets returns the ramps of some relays that have known the servers a and b for long, and
@@ -133,7 +133,7 @@
 				s = answer(5 * expected)
 			}
 			s.SentAt = now.Add(-ms)
-			s.Peers.Slots, s.Peers.Busiest = 0, 1000 // so that the ramp doesn't end
+			s.Peers.Slots, s.Peers.Requests = 0, 1000 // so that the ramp doesn't end
 			fleets[i].Observe(now, "c", s)
 			fleets[rng.IntN(len(fleets))].Merge(now, names[i], fleets[i].Reports())
 		}
@@ -147,7 +147,7 @@
 			}
 		}
 		steady, sum := peers, 0
-		steady.Slots, steady.Busiest = 0, 1000
+		steady.Slots, steady.Requests = 0, 1000
 		for _, f := range fleets {
 			sum += f.Pace("c", steady).Share
 		}
--- a/placement/pacer.go
+++ b/placement/pacer.go
@@ -73,10 +73,8 @@
 		case paced[s.ID]:
 			p.Paced++
 		default:
-			active := t.loadOf(now, s).active
 			p.Steady++
-			p.Requests += active
-			p.Busiest = max(p.Busiest, active)
+			p.Requests += t.loadOf(now, s).active
 		}
 	}
 	return p
