Report the pace of a server again only when the relay has seen something new

Cause: each load message had a report of every paced server; if a failure domain of 1,100 servers comes back, that is tens of kB in each of 500 messages a second. Change: reports go on from a sequence number, as cache insertions do; a relay that has just started gets all.

--- a/internal/engines/ramp/fleet.go
+++ b/internal/engines/ramp/fleet.go
@@ -26,6 +26,7 @@
 		places  map[string]int   // of this relay in the order for each server; computed when needed
 		ramps   map[string]*Ramp // by server ID, ended ones included
 		firstAt time.Time        // of the first list of servers
+		changed uint64           // sequence number of the latest change of a ramp; from 1 on
 		changes []Change
 		dropped uint64 // changes that weren't kept
 
@@ -78,7 +79,7 @@
 
 // New returns the ramps of a relay that knows no servers yet.
 func New(relay string) *Fleet {
-	f := &Fleet{relay: relay, mu: rank.New(rank.Backend), relays: []string{relay}, places: map[string]int{}, ramps: map[string]*Ramp{}}
+	f := &Fleet{relay: relay, mu: rank.New(rank.Backend), changed: 1, relays: []string{relay}, places: map[string]int{}, ramps: map[string]*Ramp{}}
 	f.paced.Store(&map[string]bool{})
 	return f
 }
@@ -113,6 +114,8 @@
 			r = &Ramp{Start: s.Start, Floor: 1, Ended: true, Seen: map[string]int{}}
 			if learned {
 				r.begin(now)
+				f.changed++
+				r.changed = f.changed
 				f.record(Change{Server: s.ID, Kind: Begun}, r)
 			}
 		}
@@ -176,6 +179,10 @@
 		return
 	}
 	kind := r.observe(now, f.relay, s)
+	if !r.Ended {
+		f.changed++
+		r.changed = f.changed
+	}
 	if kind == none {
 		return
 	}
@@ -183,16 +190,20 @@
 	f.update()
 }
 
-// Reports returns what other relays need to know.
-func (f *Fleet) Reports() []Report {
+// Reports returns what this relay has seen of paced servers since sequence number since,
+// and the sequence number to go on with. With 0 it returns all that it knows of them, for
+// a relay that has just started.
+func (f *Fleet) Reports(since uint64) (list []Report, next uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []Report
 	for id := range *f.paced.Load() {
 		r := f.ramps[id]
+		if since > 0 && r.changed <= since {
+			continue
+		}
 		list = append(list, Report{Server: id, Start: r.Start, Epoch: r.Epoch, Base: r.Base, Held: r.Held[f.relay], Floor: r.Floor, Last: r.Last, Seen: r.Seen[f.relay]})
 	}
-	return list
+	return list, f.changed
 }
 
 // Merge takes account of the reports of another relay.
--- a/internal/engines/ramp/ramp.go
+++ b/internal/engines/ramp/ramp.go
@@ -56,6 +56,7 @@
 		Seen  map[string]int // ratios measured, by relay
 		Ended bool           // the server is like its peers
 
+		changed   uint64    // sequence number of the latest change by what this relay has seen
 		steppedAt time.Time // when this relay learned of the epoch
 		lost      int       // requests without a response in a row
 		slow      int       // answers in a row that didn't hold at firstLimit
--- a/internal/engines/ramp/ramp_test.go
+++ b/internal/engines/ramp/ramp_test.go
@@ -39,6 +39,36 @@
 	return ramp.Sample{Result: ramp.Answered, First: first, ExpectedFirst: expected, Step: 2 * ms, ExpectedStep: 2 * ms, Peers: peers}
 }
 
+// reports returns all that a relay reports.
+func reports(f *ramp.Fleet) []ramp.Report {
+	list, _ := f.Reports(0)
+	return list
+}
+
+// TestReportsSince checks that a report is repeated only once it has changed.
+func TestReportsSince(t *testing.T) {
+	f := ramp.New("r")
+	f.SetServers(start.Add(-time.Minute), []ramp.Server{{ID: "a"}})
+	list, next := f.Reports(0)
+	if len(list) != 0 {
+		t.Errorf("before any: got %v, want none", list)
+	}
+	f.SetServers(start, []ramp.Server{{ID: "a"}, {ID: "c", Start: 1}})
+	list, next = f.Reports(next)
+	if len(list) != 1 {
+		t.Errorf("at first: got %v, want the report of c", list)
+	}
+	if list, next = f.Reports(next); len(list) != 0 {
+		t.Errorf("without a change: got %v, want none", list)
+	}
+	s := answer(expected)
+	s.SentAt = start.Add(ms)
+	f.Observe(start.Add(2*ms), "c", s)
+	if list, _ = f.Reports(next); len(list) != 1 || list[0].Held != 1 {
+		t.Errorf("after an answer: got %v, want c with 1 held", list)
+	}
+}
+
 // TestRamp shows a server to one relay by answers that each were sent after the one
 // before, and prints what the relay may send there after each series.
 func TestRamp(t *testing.T) {
@@ -135,13 +165,13 @@
 			s.SentAt = now.Add(-ms)
 			s.Peers.Slots, s.Peers.Requests = 0, 1000 // so that the ramp doesn't end
 			fleets[i].Observe(now, "c", s)
-			fleets[rng.IntN(len(fleets))].Merge(now, names[i], fleets[i].Reports())
+			fleets[rng.IntN(len(fleets))].Merge(now, names[i], reports(fleets[i]))
 		}
 		for range 2 {
 			for i, from := range fleets {
 				for _, to := range fleets {
 					if from != to {
-						to.Merge(now, names[i], from.Reports())
+						to.Merge(now, names[i], reports(from))
 					}
 				}
 			}
@@ -155,7 +185,7 @@
 		alone.SetServers(start.Add(-time.Minute), []ramp.Server{{ID: "a"}})
 		alone.SetServers(start, []ramp.Server{{ID: "c", Start: 1}})
 		for i, f := range fleets {
-			alone.Merge(now, names[i], f.Reports())
+			alone.Merge(now, names[i], reports(f))
 		}
 		if want := alone.Pace("c", steady).Share; sum != want {
 			t.Errorf("seed %d: shares add up to %d, want %d", seed, sum, want)
@@ -172,7 +202,7 @@
 	if got := len(f.Paced()); got != 0 {
 		t.Errorf("paced after the start: got %d servers, want 0", got)
 	}
-	f.Merge(start.Add(time.Second), "r2", newFleets("r2")[0].Reports())
+	f.Merge(start.Add(time.Second), "r2", reports(newFleets("r2")[0]))
 	if got := f.Paced(); len(got) != 1 || !got["c"] {
 		t.Errorf("paced after a report: got %v, want c", got)
 	}
--- a/internal/engines/ramp/replay_test.go
+++ b/internal/engines/ramp/replay_test.go
@@ -49,12 +49,13 @@
 	// run plays a replay.
 	run struct {
 		replay
-		now     time.Time
-		agenda  []event // by time
-		tables  []*placement.Table
-		fleets  []*ramp.Fleet
-		servers []*server
-		rng     *rand.Rand
+		now      time.Time
+		agenda   []event // by time
+		tables   []*placement.Table
+		fleets   []*ramp.Fleet
+		reported map[int]uint64 // sequence numbers of the fleets' reports
+		servers  []*server
+		rng      *rand.Rand
 
 		overAtServer, overElsewhere, lost int
 	}
@@ -122,7 +123,7 @@
 }
 
 func newRun(load replay, mode string) *run {
-	r := &run{replay: load, now: start, rng: rand.New(rand.NewPCG(1, 2))}
+	r := &run{replay: load, now: start, reported: map[int]uint64{}, rng: rand.New(rand.NewPCG(1, 2))}
 	var names []string
 	for i := range load.Relays {
 		names = append(names, fmt.Sprintf("relay-%d", i))
@@ -283,7 +284,9 @@
 func (r *run) exchange() {
 	r.after(20*time.Millisecond, r.exchange)
 	for i, from := range r.tables {
-		loads, reports := from.Loads(), r.fleets[i].Reports()
+		loads := from.Loads()
+		var reports []ramp.Report
+		reports, r.reported[i] = r.fleets[i].Reports(r.reported[i])
 		for j, to := range r.tables {
 			if i != j {
 				to.UpdatePeer(r.now, fmt.Sprint(i), loads, nil)
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -87,7 +87,7 @@
 	// of the backend servers have cached.
 	inserts, listings := p.relay.placement.CacheSnapshot(p.relay.share())
 	lastEmpty := true
-	var next uint64 // sequence number of the next cache insertion to report
+	var next, nextRamp uint64 // sequence numbers of the next cache insertion and change of a ramp to report
 	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
 	var nextDeparture uint64
@@ -103,7 +103,7 @@
 		loads.Departures, nextDeparture = p.relay.roster.Departures(time.Now(), nextDeparture)
 		inserts, listings, evidence = nil, nil, nil
 		if p.relay.ramps != nil {
-			loads.Ramps = p.relay.ramps.Reports()
+			loads.Ramps, nextRamp = p.relay.ramps.Reports(nextRamp)
 		}
 		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Ramps) > 0 || !lastEmpty {
 			if err := call.Send(loads); err != nil {
