--- a/internal/engines/ramp/ramp_test.go
+++ b/internal/engines/ramp/ramp_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"endivedeck.example/golden"
 	"endivedeck.example/internal/engines/ramp"
+	"endivedeck.example/rank"
 )
 
 const (
@@ -219,3 +222,45 @@
 		t.Errorf("share without peers: got %d, want no limit", got)
 	}
 }
+
+// TestManyRelays has a failure domain of 1,100 servers start behind 1,800 relays, and checks
+// what the pace costs a relay: the size of a report, and of all that it tells between two
+// messages to another relay in which it has had 24 answers a second for 3.6 s.
+func TestManyRelays(t *testing.T) {
+	const servers, answers, reportBytes = 1100, 86, 60
+	names := make([]string, 1800)
+	for i := range names {
+		names[i] = fmt.Sprintf("10.%d.%d.%d:7675", i%9, i/9, i%200)
+	}
+	f := ramp.New(names[0])
+	f.SetRelays(names)
+	var list []ramp.Server
+	for i := range servers {
+		list = append(list, ramp.Server{ID: fmt.Sprintf("i-%010d", i), Start: start.UnixMilli()})
+	}
+	f.SetServers(start.Add(-time.Minute), []ramp.Server{{ID: "a"}})
+	f.SetServers(start, list)
+	_, next := f.Reports(0)
+	for i := range answers {
+		s := answer(2 * expected)
+		s.SentAt = start.Add(ms)
+		f.Observe(start.Add(2*ms), list[i].ID, s)
+	}
+	news, _ := f.Reports(next)
+	data, err := cbor.Marshal(news)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(data); got > answers*reportBytes {
+		t.Errorf("%d reports: got %d bytes, want at most %d", len(news), got, answers*reportBytes)
+	}
+	t.Logf("%d reports of %d bytes", len(news), len(data))
+}
+
+func BenchmarkPace(b *testing.B) {
+	rank.DisableChecks()
+	f := newFleets("r1", "r2", "r3")[0]
+	for b.Loop() {
+		f.Pace("c", peers)
+	}
+}
