Keep the pace of a server ended once a relay has seen its end

Change: rounds; the end of a round is told and stays; an answer also holds within what 95 in 100 of the peers' keep to; if half of the servers or more are paced, none is limited.

--- a/internal/engines/ramp/fleet.go
+++ b/internal/engines/ramp/fleet.go
@@ -14,6 +14,7 @@
 const (
 	learnTime  = 2 * time.Second // after the first list of servers, in which servers that are new to this relay aren't new to others
 	maxChanges = 256             // kept until Changes is called
+	maxEnded   = 256             // servers whose ramps have ended lately, for reports
 )
 
 type (
@@ -27,6 +28,7 @@
 		ramps   map[string]*Ramp // by server ID, ended ones included
 		firstAt time.Time        // of the first list of servers
 		changed uint64           // sequence number of the latest change of a ramp; from 1 on
+		ended   []string         // servers whose ramps have ended by what this relay has seen, oldest first
 		changes []Change
 		dropped uint64 // changes that weren't kept
 
@@ -43,12 +45,14 @@
 	Report struct {
 		Server string  `cbor:"1,keyasint"` // ID
 		Start  int64   `cbor:"2,keyasint"`
-		Epoch  int     `cbor:"3,keyasint"`
-		Base   int     `cbor:"4,keyasint"` // limit at the begin of the epoch
-		Held   int     `cbor:"5,keyasint"` // answers of the sender that held in it
-		Floor  float64 `cbor:"6,keyasint"` // as Ramp.Floor
-		Last   float64 `cbor:"7,keyasint"` // latest ratio that the sender has measured
-		Seen   int     `cbor:"8,keyasint"` // ratios that it has measured
+		Round  int     `cbor:"3,keyasint"` // as Ramp.Round
+		Epoch  int     `cbor:"4,keyasint"`
+		Base   int     `cbor:"5,keyasint"` // limit at the begin of the epoch
+		Held   int     `cbor:"6,keyasint"` // answers of the sender that held in it
+		Floor  float64 `cbor:"7,keyasint"` // as Ramp.Floor
+		Last   float64 `cbor:"8,keyasint"` // latest ratio that the sender has measured
+		Seen   int     `cbor:"9,keyasint"` // ratios that it has measured
+		Ended  bool    `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Change is a change of a server's pace.
@@ -56,6 +60,7 @@
 		Server string
 		Kind   ChangeKind
 		Limit  int // requests
+		Round  int
 		Epoch  int
 		Floor  float64
 		Ratio  float64
@@ -113,7 +118,7 @@
 		if r == nil || r.Start != s.Start {
 			r = &Ramp{Start: s.Start, Floor: 1, Ended: true, Seen: map[string]int{}}
 			if learned {
-				r.begin(now)
+				r.begin(now, 1)
 				f.changed++
 				r.changed = f.changed
 				f.record(Change{Server: s.ID, Kind: Begun}, r)
@@ -179,13 +184,16 @@
 		return
 	}
 	kind := r.observe(now, f.relay, s)
-	if !r.Ended {
+	if !r.Ended || kind == Ended {
 		f.changed++
 		r.changed = f.changed
 	}
 	if kind == none {
 		return
 	}
+	if kind == Ended {
+		f.ended = append(f.ended[max(len(f.ended)-maxEnded+1, 0):], server)
+	}
 	f.record(Change{Server: server, Kind: kind, Sample: s}, r)
 	f.update()
 }
@@ -197,15 +205,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id := range *f.paced.Load() {
-		r := f.ramps[id]
-		if since > 0 && r.changed <= since {
-			continue
+		if r := f.ramps[id]; since == 0 || r.changed > since {
+			list = append(list, f.report(id, r))
+		}
+	}
+	for _, id := range f.ended {
+		if r := f.ramps[id]; r != nil && r.Ended && r.changed > since {
+			list = append(list, f.report(id, r))
 		}
-		list = append(list, Report{Server: id, Start: r.Start, Epoch: r.Epoch, Base: r.Base, Held: r.Held[f.relay], Floor: r.Floor, Last: r.Last, Seen: r.Seen[f.relay]})
 	}
 	return list, f.changed
 }
 
+func (f *Fleet) report(id string, r *Ramp) Report {
+	return Report{
+		Server: id, Start: r.Start, Round: r.Round, Epoch: r.Epoch, Base: r.Base, Held: r.Held[f.relay],
+		Floor: r.Floor, Last: r.Last, Seen: r.Seen[f.relay], Ended: r.Ended,
+	}
+}
+
 // Merge takes account of the reports of another relay.
 func (f *Fleet) Merge(now time.Time, relay string, reports []Report) {
 	if len(reports) == 0 {
@@ -215,8 +233,12 @@
 	defer f.mu.Unlock()
 	changed := false
 	for _, p := range reports {
-		if r := f.ramps[p.Server]; r != nil && r.merge(now, relay, p) {
-			f.record(Change{Server: p.Server, Kind: Adopted, Relay: relay}, r)
+		r := f.ramps[p.Server]
+		if r == nil {
+			continue
+		}
+		if kind := r.merge(now, relay, p); kind != none {
+			f.record(Change{Server: p.Server, Kind: kind, Relay: relay}, r)
 			changed = true
 		}
 	}
@@ -240,7 +262,7 @@
 		f.dropped++
 		return
 	}
-	c.Limit, c.Epoch, c.Floor, c.Ratio = r.found(), r.Epoch, r.Floor, r.Ratio
+	c.Limit, c.Round, c.Epoch, c.Floor, c.Ratio = r.found(), r.Round, r.Epoch, r.Floor, r.Ratio
 	f.changes = append(f.changes, c)
 }
 
--- a/internal/engines/ramp/ramp.go
+++ b/internal/engines/ramp/ramp.go
@@ -47,14 +47,15 @@
 	// Ramp is the pace of one server.
 	Ramp struct {
 		Start int64          // of the server, to tell its starts apart
-		Epoch int            // increases when the limit is reduced
+		Round int            // number of ramps since then; each recovery begins one
+		Epoch int            // increases in a round when the limit is reduced
 		Base  int            // limit at the begin of the epoch
 		Held  map[string]int // answers that held in this epoch, by relay
 		Floor float64        // ratio of measured to expected time that is the server's nature; at least 1
 		Ratio float64        // of measured to expected time, moving average over all relays; 0 if unknown
 		Last  float64        // latest ratio that this relay has measured
 		Seen  map[string]int // ratios measured, by relay
-		Ended bool           // the server is like its peers
+		Ended bool           // the server is like its peers; the round doesn't go on
 
 		changed   uint64    // sequence number of the latest change by what this relay has seen
 		steppedAt time.Time // when this relay learned of the epoch
@@ -74,6 +75,7 @@
 		ExpectedStep  time.Duration // 0 if unknown
 		ErrorRate     float64       // of the server, if the request failed
 		PeerErrorRate float64       // mean of its peers
+		PeerRatio     float64       // that few samples of its peers exceed; 0 if unknown
 		Peers         Peers
 	}
 
@@ -107,9 +109,10 @@
 // Limit returns the number of requests of all relays that may run at the server. Its
 // peers must not be left alone with the load, so what they bear, times the fraction of
 // the servers that are paced, is always allowed. What waits for a slot there doesn't
-// count: a queue that no peer can bear isn't for a cold server.
+// count: a queue that no peer can bear isn't for a cold server. If most servers are
+// paced, they are what there is, and none is limited.
 func (r *Ramp) Limit(p Peers) int {
-	if p.Steady == 0 {
+	if p.Steady <= p.Paced {
 		return math.MaxInt
 	}
 	mean := float64(p.Requests) / float64(p.Steady)
@@ -128,10 +131,15 @@
 	return limit
 }
 
-// begin paces the server from the lowest limit on.
-func (r *Ramp) begin(now time.Time) {
-	r.enter(now, r.Epoch+1, firstLimit)
-	r.Floor, r.Ratio, r.Ended, r.slow, r.Seen = 1, 0, false, 0, map[string]int{}
+// begin begins a round at the lowest limit.
+func (r *Ramp) begin(now time.Time, round int) {
+	r.enter(now, 1, firstLimit)
+	r.Round, r.Floor, r.Ratio, r.Ended, r.slow, r.Seen = round, 1, 0, false, 0, map[string]int{}
+}
+
+// end ends the round.
+func (r *Ramp) end(now time.Time) {
+	r.Ended, r.lost, r.steppedAt = true, 0, now
 }
 
 // enter enters an epoch.
@@ -142,6 +150,9 @@
 // observe takes account of a sample of the relay named, and returns how that has changed
 // the pace.
 func (r *Ramp) observe(now time.Time, relay string, s Sample) ChangeKind {
+	if s.SentAt.Before(r.steppedAt) {
+		return none
+	}
 	if s.Result == NoResponse {
 		r.lost++
 	} else {
@@ -151,17 +162,15 @@
 	case r.Ended && r.lost < lostAnswers:
 		return none
 	case r.Ended:
-		r.begin(now)
+		r.begin(now, r.Round+1)
 		return Begun
-	case s.SentAt.Before(r.steppedAt):
-		return none
 	case s.Result == NoResponse && r.found() > firstLimit:
 		r.enter(now, r.Epoch+1, firstLimit)
 		return Reduced
 	case s.Result == NoResponse:
 		return none
 	}
-	if ratio := s.ratio(); s.Result == Answered && ratio > 0 {
+	if ratio := s.Ratio(); s.Result == Answered && ratio > 0 {
 		r.Last = ratio
 		r.Seen[relay]++
 		r.updateRatio(ratio)
@@ -179,7 +188,7 @@
 	if r.found() < s.Peers.end() || r.Ratio > tolerance {
 		return none
 	}
-	r.Ended = true
+	r.end(now)
 	return Ended
 }
 
@@ -194,12 +203,12 @@
 // overloaded, or short enough that the caller doesn't mind if twice as many requests
 // make it twice as slow.
 func (r *Ramp) holds(s Sample) bool {
-	first := s.First <= s.Objective/2 || within(s.First, s.ExpectedFirst, r.Floor, firstSlack)
-	return first && within(s.Step, s.ExpectedStep, r.Floor, stepSlack)
+	first := s.First <= s.Objective/2 || within(s.First, s.ExpectedFirst, r.Floor*max(tolerance, s.PeerRatio), firstSlack)
+	return first && within(s.Step, s.ExpectedStep, r.Floor*tolerance, stepSlack)
 }
 
-func within(took, expected time.Duration, floor float64, slack time.Duration) bool {
-	return took == 0 || expected == 0 || took <= time.Duration(tolerance*floor*float64(expected))+slack
+func within(took, expected time.Duration, ratio float64, slack time.Duration) bool {
+	return took == 0 || expected == 0 || took <= time.Duration(ratio*float64(expected))+slack
 }
 
 // stepBack halves the limit. At the lowest limit it learns the server's nature instead.
@@ -211,7 +220,7 @@
 	if s.Result != Answered {
 		return none
 	}
-	ratio := s.ratio()
+	ratio := s.Ratio()
 	if r.slow == 0 || ratio < r.slowFloor {
 		r.slowFloor = ratio
 	}
@@ -223,9 +232,9 @@
 	return Slow
 }
 
-// ratio returns the larger ratio of measured to expected times. Times shorter than the
-// slack aren't told apart.
-func (s *Sample) ratio() float64 {
+// Ratio returns the larger ratio of measured to expected times; 0 if unknown. Times
+// shorter than the slack aren't told apart.
+func (s *Sample) Ratio() float64 {
 	ratio := 0.0
 	if s.ExpectedFirst > 0 {
 		ratio = float64(s.First) / float64(max(s.ExpectedFirst, firstSlack))
@@ -248,19 +257,26 @@
 	return end
 }
 
-// merge takes account of another relay's report, and reports whether that has changed the
-// epoch.
-func (r *Ramp) merge(now time.Time, relay string, p Report) bool {
-	if p.Start != r.Start || p.Epoch < r.Epoch {
-		return false
-	}
-	entered := p.Epoch > r.Epoch
-	if entered {
+// merge takes account of another relay's report, and returns how that has changed the
+// pace.
+func (r *Ramp) merge(now time.Time, relay string, p Report) ChangeKind {
+	change := none
+	switch {
+	case p.Start != r.Start || p.Round < r.Round:
+		return none
+	case p.Round > r.Round:
+		r.begin(now, p.Round)
 		r.enter(now, p.Epoch, p.Base)
-		if r.Ended {
-			r.Floor, r.Ratio, r.Seen = 1, 0, map[string]int{}
-		}
-		r.Ended = false
+		change = Adopted
+	case r.Ended || !p.Ended && p.Epoch < r.Epoch:
+		return none
+	case p.Epoch > r.Epoch:
+		r.enter(now, p.Epoch, p.Base)
+		change = Adopted
+	}
+	if p.Ended {
+		r.end(now)
+		return Ended
 	}
 	r.Base = min(r.Base, p.Base)
 	r.Floor = max(r.Floor, p.Floor)
@@ -269,5 +285,5 @@
 		r.updateRatio(p.Last)
 	}
 	r.Held[relay] = max(r.Held[relay], p.Held)
-	return entered
+	return change
 }
--- a/placement/pacer.go
+++ b/placement/pacer.go
@@ -7,7 +7,12 @@
 	"endivedeck.example/roster"
 )
 
-const initialLatency = 30 * time.Millisecond // of servers of which none has responded yet
+const (
+	initialLatency = 30 * time.Millisecond // of servers of which none has responded yet
+
+	peerQuantile     = 0.95 // of the ratios of measured to expected times
+	peerQuantileStep = 0.1  // of its estimate
+)
 
 type (
 	// Pacer limits the requests that run at servers that have just started or recovered.
@@ -160,10 +165,11 @@
 // observe adds what was expected to a sample and passes it on. A late request yields to
 // others, so its time to the first byte says nothing about the server.
 func (tk *Ticket) observe(now time.Time, s *server, sample ramp.Sample) {
-	t := tk.table
+	t, kind := tk.table, engineKind{s.Service, s.Stage}
 	sample.SentAt, sample.Objective = tk.assignedAt, tk.objective
-	if paced := t.pacer.Paced(); paced[s.ID] {
-		kind := engineKind{s.Service, s.Stage}
+	if paced := t.pacer.Paced(); !paced[s.ID] {
+		t.observePeer(kind, s, tk.expected, sample)
+	} else {
 		mean := t.peerMeans(now, kind, paced)
 		sample.ExpectedFirst, sample.ExpectedStep, sample.PeerErrorRate = tk.expected, mean.step, mean.errorRate
 		if tk.expected == 0 {
@@ -172,12 +178,25 @@
 		if tk.late {
 			sample.ExpectedFirst = 0
 		}
+		sample.PeerRatio = t.peerRatios[kind]
 		sample.Peers = t.peersOf(now, kind, paced)
 		sample.Peers.Slots = s.Slots
 	}
 	t.pacer.Observe(now, s.ID, sample)
 }
 
+// observePeer updates the ratio of measured to expected times that few samples of servers
+// that aren't paced exceed.
+func (t *Table) observePeer(kind engineKind, s *server, expected time.Duration, sample ramp.Sample) {
+	sample.ExpectedFirst = expected
+	if expected == 0 {
+		sample.ExpectedFirst = s.latency
+	}
+	if ratio := sample.Ratio(); ratio > 0 {
+		t.peerRatios[kind] = updateQuantile(max(t.peerRatios[kind], 1), ratio, peerQuantile, peerQuantileStep)
+	}
+}
+
 // peerMeans returns the means of the latency, the time between events and the error
 // rate of the servers of a kind that aren't paced; 0 if unknown.
 func (t *Table) peerMeans(now time.Time, kind engineKind, paced map[string]bool) (mean struct {
--- a/placement/table.go
+++ b/placement/table.go
@@ -25,6 +25,7 @@
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		pacer        Pacer                      // nil if servers aren't paced
+		peerRatios   map[engineKind]float64     // estimate of peerQuantile of the ratios of measured to expected times, with a pacer
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -65,6 +66,7 @@
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
+		peerRatios:   map[engineKind]float64{},
 	}
 }
 
--- a/relay/ramps.go
+++ b/relay/ramps.go
@@ -29,7 +29,7 @@
 	changes, dropped := r.ramps.Changes()
 	for _, c := range changes {
 		r.metrics.countRamp(c.Kind)
-		fields := logrus.Fields{"server": c.Server, "change": c.Kind, "limit": c.Limit, "epoch": c.Epoch, "floor": c.Floor, "ratio": c.Ratio}
+		fields := logrus.Fields{"server": c.Server, "change": c.Kind, "limit": c.Limit, "round": c.Round, "epoch": c.Epoch, "floor": c.Floor, "ratio": c.Ratio}
 		switch s := c.Sample; {
 		case c.Relay != "":
 			fields["relay"] = c.Relay
