--- a/internal/teams/share/share.go
+++ b/internal/teams/share/share.go
@@ -155,14 +155,32 @@
 		s.dividedAt = now
 		t.divide(now, ask.Service, s)
 	}
+	wait, credit := c.wait()
+	c.credit = credit
+	return wait
+}
+
+// Expect returns what Allow would return by what is known now, and records nothing.
+func (t *Table) Expect(now time.Time, ask Ask) float64 {
+	s := t.services[ask.Service]
+	if s == nil || !s.pressed(now) || s.claims[claimant{ask.Team, ask.Rank}] == nil {
+		return 1
+	}
+	wait, _ := s.claims[claimant{ask.Team, ask.Rank}].wait()
+	return wait
+}
+
+// wait returns what Allow returns while there is too little room, and the credit that is
+// left after that.
+func (c *claim) wait() (wait, credit float64) {
 	if c.fraction >= 1 {
-		return roomyWait
+		return roomyWait, c.credit
 	}
-	if c.credit += c.fraction; c.credit < 1 {
-		return 0
+	credit = c.credit + c.fraction
+	if credit < 1 {
+		return 0, credit
 	}
-	c.credit--
-	return tightWait
+	return tightWait, credit - 1
 }
 
 // Given counts a request that was placed.
--- a/message/message.go
+++ b/message/message.go
@@ -10,6 +10,7 @@
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/internal/usage/meter"
@@ -182,9 +183,44 @@
 		CacheListings []placement.CacheListing `cbor:"4,keyasint,omitempty"` // parts that backend servers have listed as cached
 		Evidence      []quarantine.Evidence    `cbor:"5,keyasint,omitempty"` // about parts of prompts that may crash servers
 		Departures    []roster.Observation     `cbor:"6,keyasint,omitempty"` // backend servers that leave, learned since the previous message
+		Ramps         []ramp.Report            `cbor:"7,keyasint,omitempty"` // of servers that are paced
 		Shares        []share.Report           `cbor:"8,keyasint,omitempty"` // what teams ask of services under pressure
 	}
 
+	// PreviewRequest asks a relay where it would send a request now.
+	PreviewRequest struct {
+		Host     string              `json:"host"`
+		Path     string              `json:"path"`
+		Header   map[string][]string `json:"header,omitempty"` // as a caller sends it
+		Team     string              `json:"team,omitempty"`   // name; goes before a key in Header
+		Prompt   []PromptPart        `json:"prompt,omitempty"` // this and what follows go before what Header says
+		Tokens   int                 `json:"tokens,omitempty"` // of the whole prompt
+		Answer   int                 `json:"answer,omitempty"` // most tokens of the answer
+		LeftMs   int                 `json:"left,omitempty"`   // time until the caller needs the whole answer
+		Tried    []string            `json:"tried,omitempty"`  // IDs of servers that have had the request
+		Returned bool                `json:"returned"`         // the caller was refused before
+	}
+
+	// PromptPart is a part of a prompt.
+	PromptPart struct {
+		Name   string `json:"name"`
+		Tokens int    `json:"tokens"`
+	}
+
+	// PreviewResponse is where a relay would send a request, or why it would refuse it.
+	PreviewResponse struct {
+		Error     *fault.Error       `json:"error,omitempty"` // of the preview itself
+		Relay     string             `json:"relay"`           // instance
+		Version   uint64             `json:"version"`         // of the routes
+		Route     string             `json:"route,omitempty"`
+		Service   string             `json:"service,omitempty"`
+		Team      string             `json:"team,omitempty"`
+		Refusal   *fault.Error       `json:"refusal,omitempty"` // the error that the request would get
+		RetryMs   float64            `json:"retry,omitempty"`   // when the caller is asked to return
+		Leaving   []string           `json:"leaving,omitempty"` // IDs of servers that take no new requests
+		Placement *placement.Preview `json:"placement,omitempty"`
+	}
+
 	// RelayUpdate is an update for a relay. The first one of a subscription has
 	// everything but routes that the relay has already; each later one has what is new.
 	RelayUpdate struct {
--- a/placement/chat.go
+++ b/placement/chat.go
@@ -53,6 +53,7 @@
 		if t.lasting(now, s) > 1 {
 			fill += slowFill
 		}
+		req.preview.fill(s, fill)
 		weight := s.rendezvousWeight(chatRendezvousKey)
 		if best == nil || fill < bestFill || fill == bestFill && weight > bestWeight {
 			best, bestQueue, bestFill, bestWeight = s, queue, fill, weight
@@ -68,7 +69,7 @@
 		return Choice{}, errTooLate(req, bestQueue)
 	}
 	return Choice{
-		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, nominalPrefill: nominal, queueTime: bestQueue}),
+		Runner:    t.assign(now, best, req, prefillJob{prefillTime: prefill, nominalPrefill: nominal, queueTime: bestQueue, expected: bestQueue + prefill}),
 		QueueTime: bestQueue,
 		FirstByte: bestQueue + prefill,
 	}, nil
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -253,6 +253,7 @@
 	if s.Stage != roster.Prefill {
 		p.cost += time.Duration(interferenceWeight * float64(load.active) * float64(p.prefillTime))
 	}
+	ps.req.preview.plan(p, cached, transferred)
 	return p
 }
 
@@ -265,7 +266,9 @@
 		if s.Stage == roster.Prefill {
 			continue
 		}
-		if cost := ps.decodeCost(s); best == nil || cost < bestCost {
+		cost := ps.decodeCost(s)
+		ps.req.preview.decode(s, cost)
+		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -307,8 +310,10 @@
 	if p.prefixSource != nil {
 		c.PrefixSource = p.prefixSource.Address
 	}
-	t.recordInsert(p.server, ps.prefixes, p.newTokens)
-	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, usualTime: p.usualTime, late: p.late})
+	if ps.req.preview == nil {
+		t.recordInsert(p.server, ps.prefixes, p.newTokens)
+	}
+	ticket := t.assign(ps.now, p.server, ps.req, prefillJob{prefillTime: p.prefillTime, nominalPrefill: p.nominalPrefill, queueTime: p.queueTime, expected: p.firstByte - p.handoffTime, usualTime: p.usualTime, late: p.late})
 	if p.decoder == nil {
 		c.Runner = ticket
 		return c
@@ -326,6 +331,7 @@
 		transferTime: p.transferTime,
 		handoffTime:  p.handoffTime,
 		usualTime:    p.usualHandoff,
+		expected:     p.handoffTime,
 		prefixes:     ps.prefixes,
 		newTokens:    ps.uncachedTokens(p.decoder),
 	})
--- a/placement/table.go
+++ b/placement/table.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/internal/engines/pace"
+	"endivedeck.example/internal/engines/ramp"
 	"endivedeck.example/internal/teams/share"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
@@ -26,7 +27,9 @@
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[engineKind]usualSpeed
 		gaps         map[engineKind]typicalGap
-		shares       *share.Table // of the engines' time, by team
+		shares       *share.Table           // of the engines' time, by team
+		pacer        Pacer                  // nil if servers aren't paced
+		peerRatios   map[engineKind]float64 // estimate of peerQuantile of the ratios of measured to expected times, with a pacer
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -44,6 +47,9 @@
 		queueWait       time.Duration // wait beyond the expected queue, moving average as of queueWaitAt
 		queueWaitAt     time.Time
 		latency         time.Duration // of requests to the first byte, moving average
+		paced           bool          // as of the latest decision
+		pace            ramp.Pace     // the same, if paced
+		step            time.Duration // between the events of a response, moving average; measured only with a pacer
 		errorRate       float64       // moving average as of errorRateAt
 		errorRateAt     time.Time
 		noResponseCount int       // number of requests in a row that got no response
@@ -69,6 +75,7 @@
 		usualSpeeds:  map[engineKind]usualSpeed{},
 		gaps:         map[engineKind]typicalGap{},
 		shares:       share.New(equalWeights{}),
+		peerRatios:   map[engineKind]float64{},
 	}
 }
 
@@ -179,6 +186,11 @@
 func (t *Table) Choose(now time.Time, req Request) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.choose(now, req)
+}
+
+// choose is Choose. The caller must hold t.mu.
+func (t *Table) choose(now time.Time, req Request) (Choice, error) {
 	candidates := t.candidates(now, req)
 	if len(candidates) == 0 {
 		return Choice{}, fault.New(fault.Unavailable, fault.NotRun, "no backend server of service %q is available", req.Service)
@@ -194,30 +206,49 @@
 
 // candidates returns the servers of the request's service that are neither
 // excluded by the request nor paused nor in backoff. If all others are in backoff, it
-// returns these.
+// returns these. A server that is paced and has no room is left out while another of its
+// stage is there.
 func (t *Table) candidates(now time.Time, req Request) []*server {
-	var candidates, inBackoff []*server
+	room := t.newRoom(now)
+	var candidates, inBackoff, limited []*server
 	for _, s := range t.byService[req.Service] {
 		switch {
-		case req.Excluded[s.ID], now.Before(s.pausedUntil):
+		case req.Excluded[s.ID]:
+			req.preview.exclude(s, reasonExcluded, 0)
+		case now.Before(s.pausedUntil):
+			req.preview.exclude(s, reasonPaused, s.pausedUntil.Sub(now))
 		case now.Before(s.backoffUntil):
 			inBackoff = append(inBackoff, s)
+			req.preview.exclude(s, reasonBackoff, s.backoffUntil.Sub(now))
+		case !room.left(s):
+			limited = append(limited, s)
+			req.preview.exclude(s, reasonPaced, 0)
 		default:
 			candidates = append(candidates, s)
 		}
 	}
+	candidates = withMissingStages(candidates, limited)
 	if len(candidates) == 0 {
-		return inBackoff
+		candidates = inBackoff
+	}
+	for _, s := range candidates {
+		req.preview.exclude(s, "", 0)
+		req.preview.paced(s)
 	}
 	return candidates
 }
 
 // chooseByLatency selects the server with the lowest latencyCost.
 func (t *Table) chooseByLatency(now time.Time, req Request, candidates []*server) (Choice, error) {
-	const defaultLatency = 30 * time.Millisecond // of a server that hasn't responded yet
+	defaultLatency := t.defaultLatency(candidates)
 	best := slices.MinFunc(candidates, func(a, b *server) int {
 		return compareFloats(a.latencyCost(now, req, defaultLatency), b.latencyCost(now, req, defaultLatency))
 	})
+	if req.preview != nil {
+		for _, s := range candidates {
+			req.preview.latency(s, s.latencyCost(now, req, defaultLatency))
+		}
+	}
 	cost := best.latencyCost(now, req, defaultLatency)
 	return Choice{Runner: t.assign(now, best, req, prefillJob{}), FirstByte: time.Duration(cost)}, nil
 }
@@ -231,7 +262,10 @@
 		crossDomainCost = float64(time.Millisecond) // added for another failure domain
 	)
 	latency := s.latency
-	if latency == 0 {
+	switch {
+	case s.paced:
+		latency = s.pacedLatency(defaultLatency)
+	case latency == 0:
 		latency = defaultLatency
 	}
 	cost := float64(latency) * float64(1+s.active) * (1 + errorWeight*s.currentErrorRate(now))
--- a/placement/teams.go
+++ b/placement/teams.go
@@ -21,7 +21,11 @@
 		return classFactor
 	}
 	t.press(now, req, p)
-	switch part := t.shares.Allow(now, share.Ask{Service: req.Service, Team: req.Team, Rank: req.Rank, Work: work}); {
+	allow := t.shares.Allow
+	if req.preview != nil {
+		allow = t.shares.Expect
+	}
+	switch part := allow(now, share.Ask{Service: req.Service, Team: req.Team, Rank: req.Rank, Work: work}); {
 	case part > 1:
 		return part * max(classFactor, 1) // the queue keeps room for these, whatever their class
 	case part < 1:
@@ -34,14 +38,14 @@
 
 // press records that there is too little room, if the request would wait for long.
 func (t *Table) press(now time.Time, req Request, p plan) {
-	if req.Team != "" && req.ObjectiveLeft > 0 && p.queueTime > time.Duration(share.PressedWait*maxWaitFraction*float64(req.ObjectiveLeft)) {
+	if req.preview == nil && req.Team != "" && req.ObjectiveLeft > 0 && p.queueTime > time.Duration(share.PressedWait*maxWaitFraction*float64(req.ObjectiveLeft)) {
 		t.shares.Press(now, req.Service)
 	}
 }
 
 // recordGiven counts a prompt that is placed.
 func (t *Table) recordGiven(now time.Time, req Request, work time.Duration) {
-	if req.Team != "" {
+	if req.preview == nil && req.Team != "" {
 		t.shares.Given(now, req.Service, work)
 	}
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -53,6 +53,9 @@
 	if r.ctx.Err() != nil {
 		return
 	}
+	if r.ramps != nil {
+		r.ramps.SetRelays(addresses)
+	}
 	for address, p := range r.peers {
 		if !slices.Contains(addresses, address) {
 			p.cancel()
@@ -97,7 +100,7 @@
 	// of the backend servers have cached.
 	inserts, listings := p.relay.placement.CacheSnapshot(p.relay.share())
 	lastEmpty := true
-	var next uint64 // sequence number of the next cache insertion to report
+	var next, nextRamp uint64 // sequence numbers of the next cache insertion and change of a ramp to report
 	evidence, nextEvidence := p.relay.quarantine.Snapshot(time.Now(), p.relay.sharesPart())
 	_, nextListing := p.relay.cacheSurvey.since(0)
 	var nextDeparture uint64
@@ -118,7 +121,10 @@
 		if now := time.Now(); now.Sub(sharesSentAt) >= share.ReportInterval {
 			loads.Shares, sharesSentAt = p.relay.placement.ShareReports(now), now
 		}
-		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Shares) > 0 || !lastEmpty { // also without changes, to keep the loads in use
+		if p.relay.ramps != nil {
+			loads.Ramps, nextRamp = p.relay.ramps.Reports(nextRamp)
+		}
+		if len(loads.Servers)+len(loads.CacheInserts)+len(loads.CacheListings)+len(loads.Evidence)+len(loads.Departures)+len(loads.Shares)+len(loads.Ramps) > 0 || !lastEmpty { // also without changes, to keep the loads in use
 			if err := call.Send(loads); err != nil {
 				return err
 			}
@@ -187,6 +193,9 @@
 		for _, listing := range loads.CacheListings {
 			r.placement.RecordListing(listing)
 		}
+		if r.ramps != nil {
+			r.ramps.Merge(time.Now(), loads.Relay, loads.Ramps)
+		}
 		if len(loads.Evidence) > 0 {
 			r.evidence.notify(r.quarantine.Merge(time.Now(), loads.Evidence))
 			r.logTransitions()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,8 @@
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
 	"endivedeck.example/gate"
+	"endivedeck.example/internal/engines/ramp"
+	"endivedeck.example/internal/operators/access"
 	"endivedeck.example/internal/prompts/quarantine"
 	"endivedeck.example/interval"
 	"endivedeck.example/kernel"
@@ -69,6 +71,8 @@
 		LinkRate       float64           `json:"link" range:"0..1e12"`           // of the machine's link, in bytes per second; 0 if unknown
 		Limits         gate.Limits       `json:"limits"`
 		Usage          UsageSettings     `json:"usage,omitzero"`
+		Ramp           bool              `json:"ramp"`         // pace servers that start or recover
+		OperatorKeys   []access.Operator `json:"operatorKeys"` // of those who may ask for previews on ReadyListen
 
 		// RevocationLimit is how long the relay takes keys without word from a control
 		// instance that its routes are current; 0 for no limit.
@@ -95,6 +99,7 @@
 		quarantine    *quarantine.Table
 		evidence      *evidenceExchange
 		usage         *usageReporter // nil if usage isn't counted
+		ramps         *ramp.Fleet    // nil if servers aren't paced
 		buffers       bufferLimit
 		link          *linkMeter
 		upstream      *upstream.Pool
@@ -133,6 +138,7 @@
 		SilenceTimeout: settings.Duration(5 * time.Second),
 		GracePeriod:    settings.Duration(8 * time.Second),
 		Limits:         limits,
+		OperatorKeys:   []access.Operator{},
 	}
 }
 
@@ -187,6 +193,10 @@
 	r.cacheSurvey = newCacheSurvey(r)
 	r.evidence = newEvidenceExchange(r)
 	r.usage = newUsageReporter(r, settings.Usage)
+	if settings.Ramp {
+		r.ramps = ramp.New(settings.PeerListen)
+		r.placement.SetPacer(r.ramps)
+	}
 	r.metrics = newRelayMetrics(host.Metrics, r)
 	return r, nil
 }
@@ -201,7 +211,7 @@
 	go r.run()
 	go r.cacheSurvey.run(r.ctx)
 	go r.evidence.run(r.ctx)
-	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, http.HandlerFunc(r.serveReady), r.settings.Limits, nil)
+	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, r.readyHandler(), r.settings.Limits, nil)
 	if err != nil {
 		return err
 	}
@@ -279,6 +289,9 @@
 // Address returns the address on which callers connect.
 func (r *Relay) Address() string { return r.callerServer.Address() }
 
+// ReadyAddress returns the address of the readiness check and of previews.
+func (r *Relay) ReadyAddress() string { return r.readyServer.Address() }
+
 // run removes servers that have timed out and closes expired idle connections
 // until the relay stops.
 func (r *Relay) run() {
@@ -287,10 +300,11 @@
 }
 
 func (r *Relay) sweep(now time.Time) {
-	r.placement.SetServers(r.roster.Servers(now))
+	r.setServers(now, r.roster.Servers(now))
 	r.upstream.CloseExpired(now)
 	r.quarantine.Expire(now)
 	r.logTransitions()
+	r.logRamps()
 }
 
 // Ready reports whether the relay has received routes and is not stopping.
