Let previews tell what teams' shares and returns make of a request

Cause: with shares of teams merged, the preview of a request that is itself the sign of too little room took another plan than the request (2 of 1,200 in the test), and the time at which a refused caller is asked to return was the default. Change: the preview keeps that sign for itself; Choice comes with it, and the calendar of returns can be asked without keeping a time.

--- a/internal/teams/refusal/refusal.go
+++ b/internal/teams/refusal/refusal.go
@@ -11,6 +11,7 @@
 package refusal
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -91,6 +92,15 @@
 	return wait
 }
 
+// Expect returns what ReturnAfter would return, and keeps no time for the caller.
+func (c *Calendar) Expect(now time.Time, r Refusal) time.Duration {
+	kept := New()
+	if s := c.services[r.Service]; s != nil {
+		kept.services[r.Service] = &service{next: maps.Clone(s.next), spare: s.spare}
+	}
+	return kept.ReturnAfter(now, r)
+}
+
 // spread returns a wait between the least and the longest one.
 func (s *service) spread(limit time.Duration) time.Duration {
 	s.spare++
--- a/internal/teams/refusal/refusal_test.go
+++ b/internal/teams/refusal/refusal_test.go
@@ -126,3 +126,21 @@
 		t.Errorf("requests that were never served: got %d, want at most %d", got, want)
 	}
 }
+
+// TestExpect checks that Expect tells what ReturnAfter returns next, and changes nothing.
+func TestExpect(t *testing.T) {
+	c := refusal.New()
+	for i := range 40 {
+		r := refusal.Refusal{Service: "s", Rank: i % 3, Room: time.Duration(i%5) * work, Spacing: work / engines, TimeLeft: budget}
+		if i%7 == 0 {
+			r.Room = -1
+		}
+		want := c.Expect(start, r)
+		if again := c.Expect(start, r); again != want {
+			t.Errorf("refusal %d: got %v the second time, want %v", i, again, want)
+		}
+		if got := c.ReturnAfter(start, r); got != want {
+			t.Errorf("refusal %d: got %v, expected %v", i, got, want)
+		}
+	}
+}
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -52,7 +52,7 @@
 		return recent+prefill > time.Duration(chatsPart*float64(req.PauseObjective))
 	}
 	part := maxPrefillPart
-	if t.shares.Pressed(now, req.Service) {
+	if t.pressed(now, req) {
 		part = pressedPart
 	}
 	budget := time.Duration(part * float64(req.PauseObjective))
--- a/placement/preview.go
+++ b/placement/preview.go
@@ -24,8 +24,10 @@
 		Queue     float64         `json:"queue"`               // until processing begins
 		First     float64         `json:"first"`               // until the first byte
 		Servers   []PreviewServer `json:"servers"`             // of the service
+		Choice    Choice          `json:"-"`                   // as Choose would return it, also for a request that it refuses
 
-		byID map[string]int // index in Servers
+		byID    map[string]int // index in Servers
+		pressed bool           // the request itself shows that there is too little room
 	}
 
 	// PreviewServer is a server with the terms of the decision. Those that the decision
@@ -74,6 +76,7 @@
 		})
 	}
 	choice, err := t.choose(now, req)
+	p.Choice = choice
 	if err != nil {
 		return p, err
 	}
--- a/placement/preview_test.go
+++ b/placement/preview_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 		list = append(list, s.Server)
 	}
 	table.SetServers(list)
-	for range 30 {
+	for range 60 {
 		req := previewRequest(rng)
 		c, err := table.Choose(start, req)
 		if err != nil {
@@ -46,7 +47,13 @@
 func previewRequest(rng *rand.Rand) Request {
 	switch rng.IntN(3) {
 	case 0:
-		return longPrompt(10 + rng.Uint64N(5))
+		req := longPrompt(10 + rng.Uint64N(5))
+		req.PauseObjective = 100 * time.Millisecond
+		req.Team = []string{"", "a", "b"}[rng.IntN(3)]
+		if rng.IntN(4) == 0 {
+			req.ObjectiveLeft, req.TimeLeft = 20*time.Millisecond, 50*time.Millisecond
+		}
+		return req
 	case 1:
 		return chat()
 	}
@@ -56,6 +63,7 @@
 // TestPreviewAgrees compares the preview of many requests with where they then go, and
 // checks that it changes nothing.
 func TestPreviewAgrees(t *testing.T) {
+	refused := 0
 	for seed := range uint64(40) {
 		table, untouched := newBusyTable(t, seed), newBusyTable(t, seed)
 		rng := rand.New(rand.NewPCG(seed, 2))
@@ -75,7 +83,11 @@
 			if fmt.Sprint(previewErr) != fmt.Sprint(err) {
 				t.Errorf("seed %d, request %d: got error %v, the request's is %v", seed, i, previewErr, err)
 			}
+			if got, want := []time.Duration{p.Choice.FirstByte, p.Choice.Room, p.Choice.Spacing}, []time.Duration{c.FirstByte, c.Room, c.Spacing}; !slices.Equal(got, want) {
+				t.Errorf("seed %d, request %d: got first byte, room and spacing %v, want %v", seed, i, got, want)
+			}
 			if err != nil {
+				refused++
 				continue
 			}
 			prefiller := ""
@@ -89,6 +101,9 @@
 			}
 		}
 	}
+	if refused == 0 {
+		t.Error("no request was refused")
+	}
 }
 
 // TestPreviewTerms prints the preview of a prompt, a chat, a request without a prompt and one
--- a/placement/teams.go
+++ b/placement/teams.go
@@ -30,7 +30,7 @@
 		return part * max(classFactor, 1) // the queue keeps room for these, whatever their class
 	case part < 1:
 		return 0
-	case t.shares.Pressed(now, req.Service):
+	case t.pressed(now, req):
 		return min(classFactor, 1)
 	}
 	return classFactor
@@ -38,9 +38,19 @@
 
 // press records that there is too little room, if the request would wait for long.
 func (t *Table) press(now time.Time, req Request, p plan) {
-	if req.preview == nil && req.Team != "" && req.ObjectiveLeft > 0 && p.queueTime > time.Duration(share.PressedWait*maxWaitFraction*float64(req.ObjectiveLeft)) {
-		t.shares.Press(now, req.Service)
+	if req.Team == "" || req.ObjectiveLeft <= 0 || p.queueTime <= time.Duration(share.PressedWait*maxWaitFraction*float64(req.ObjectiveLeft)) {
+		return
 	}
+	if req.preview != nil {
+		req.preview.pressed = true
+		return
+	}
+	t.shares.Press(now, req.Service)
+}
+
+// pressed reports whether there is too little room for the requests of the service.
+func (t *Table) pressed(now time.Time, req Request) bool {
+	return req.preview != nil && req.preview.pressed || t.shares.Pressed(now, req.Service)
 }
 
 // recordGiven counts a prompt that is placed.
--- a/relay/job.go
+++ b/relay/job.go
@@ -59,6 +59,7 @@
 	sends         int             // attempts so far; a prefill and the send after it count as one
 	executions    int             // sends after which the request may have run
 	position      streamPosition  // after which the stream resumes
+	preview       bool            // the request isn't served
 	trial         bool            // the request tries a quarantined part of a prompt
 	quarantined   bool            // rejected for a part of its prompt
 	errorResponse *errorResponse  // of the last server that reported a failure; nil if none did
--- a/relay/preview.go
+++ b/relay/preview.go
@@ -69,7 +69,7 @@
 func (r *Relay) preview(now time.Time, query message.PreviewRequest) message.PreviewResponse {
 	response := message.PreviewResponse{Relay: r.host.Process.Instance}
 	response.Version, _ = r.routeView.Version()
-	j := &job{relay: r, start: now, response: &callerResponse{retryAfter: defaultRetryAfter}, tried: map[string]bool{}, clientRetry: query.Returned}
+	j := &job{relay: r, start: now, preview: true, response: &callerResponse{retryAfter: defaultRetryAfter}, tried: map[string]bool{}, clientRetry: query.Returned}
 	j.request = &http.Request{Method: http.MethodPost, Host: query.Host, RequestURI: query.Path, Header: http.Header(query.Header)}
 	for _, id := range query.Tried {
 		j.tried[id] = true
@@ -96,9 +96,11 @@
 		request := j.placementRequest(now)
 		request.MustPlace = len(query.Tried) > 0 || j.route.Kind != routes.Stream
 		response.Placement, err = r.placement.Preview(now, request)
+		j.choice = response.Placement.Choice
 	}
 	if err != nil {
 		err = j.finalError(err)
+		j.planReturn(err)
 		response.Refusal = fault.FromError(err)
 		if impliesNotRun(fault.HTTPErrorOf(response.Refusal.Kind).Status) {
 			response.RetryMs = float64(j.response.retryAfter.Milliseconds())
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -26,6 +26,13 @@
 	return c.calendar.ReturnAfter(now, r)
 }
 
+// expect is returnAfter for a caller that isn't refused.
+func (c *returnCalendar) expect(now time.Time, r refusal.Refusal) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calendar.Expect(now, r)
+}
+
 func (c *returnCalendar) retain(services map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -45,7 +52,11 @@
 	if room <= 0 {
 		room = -1
 	}
-	j.response.retryAfter = j.relay.returns.returnAfter(now, refusal.Refusal{
+	returnAfter := j.relay.returns.returnAfter
+	if j.preview {
+		returnAfter = j.relay.returns.expect
+	}
+	j.response.retryAfter = returnAfter(now, refusal.Refusal{
 		Service:  j.service,
 		Rank:     j.route.Rank(j.team),
 		Room:     room,
