--- a/internal/usage/meter/meter_test.go
+++ b/internal/usage/meter/meter_test.go
@@ -67,6 +67,7 @@
 }
 
 func BenchmarkCount(b *testing.B) {
+	rank.DisableChecks()
 	m := New(time.Hour)
 	teams := make([]string, 2500)
 	for i := range teams {
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	minUsageInterval    = 500 * time.Millisecond // between usage reports to one control instance
+	minUsageInterval    = time.Second            // between usage reports to one control instance
 	maxUsagePerSecond   = 500                    // usage reports to one control instance, of all relays
 	usageRetryDelay     = 500 * time.Millisecond // before the next attempt to open a call
 	usageFlushTime      = 100 * time.Millisecond // for the last reports of a relay that stops
-	usageIntervalsToLag = 10                     // report intervals, at least, until a window is late
+	usageIntervalsToLag = 5                      // report intervals, at least, until a window is late
 )
 
 type (
