Order the number of servers by failure domain, where the routing table has bounds

Relays report the demand in their usage call; the holder of the duty commits an order before it sends it. Services without bounds get no order, and without any nothing is held or sent. Tests bring about a killed and a cut-off holder and a provider that is down or silent.

--- a/command/change.go
+++ b/command/change.go
@@ -198,6 +198,12 @@
 	for _, w := range status.UsageWindows {
 		fmt.Fprintf(table, "%d\t%s\t%s\t%v\t%d\t%d\t%d\n", w.Number, w.Start.Format(time.RFC3339), w.State, w.Late, w.Teams, w.Requests, w.Missing)
 	}
+	if len(status.Servers) > 0 {
+		fmt.Fprintln(table, "\nSERVICE\tFAILURE DOMAIN\tSERVERS ORDERED\tSERVERS PRESENT")
+	}
+	for _, c := range status.Servers {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\n", c.Service, c.Domain, c.Ordered, c.Present)
+	}
 	if len(status.Teams) > 0 {
 		fmt.Fprintln(table, "\nTEAM\tKEYS")
 	}
--- a/command/status_test.go
+++ b/command/status_test.go
@@ -27,6 +27,7 @@
 		{Number: 378711, Start: start, State: message.WindowClosed, Late: true, Teams: 2, Requests: 1200, Missing: 1},
 		{Number: 378712, Start: start.Add(5 * time.Second), State: message.WindowOpen, Teams: 1, Requests: 7},
 	}
+	status.Servers = []message.ServerCount{{Service: "assist", Domain: "east", Ordered: 4, Present: 3}}
 	status.Teams = []message.Team{{Name: "clinics", Keys: 2}, {Name: "crews"}}
 	c.write(&status)
 	golden.Check(t, "status.golden", seen.String())
--- a/control/duties.go
+++ b/control/duties.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/duties/replicas"
 	"endivedeck.example/internal/duties/tenure"
 	"endivedeck.example/internal/fleet/clock"
 	"endivedeck.example/internal/usage/ledger"
@@ -21,8 +22,11 @@
 	"endivedeck.example/wire"
 )
 
-// DutyUsage is the duty to report the usage of teams.
-const DutyUsage = "usage"
+// Names of duties.
+const (
+	DutyUsage   = "usage"   // report the usage of teams
+	DutyServers = "servers" // order the number of servers
+)
 
 const (
 	dutyInterval    = 250 * time.Millisecond // between two looks at what a duty requires
@@ -54,6 +58,9 @@
 	Provider interface {
 		// PrepareUsage opens a connection for a call that reports the usage in a window.
 		PrepareUsage(ctx context.Context, by tenure.Tenure, w meter.Window) (ProviderCall, error)
+
+		// PrepareServers opens a connection for a call that orders a number of servers.
+		PrepareServers(ctx context.Context, by tenure.Tenure, o replicas.Order) (ProviderCall, error)
 	}
 
 	// ProviderCall is a call to the provider that is ready to be sent. It must be closed.
@@ -79,6 +86,8 @@
 		process  string // unique for this start of the instance
 		clock    *clock.Clock
 		usage    *usageReporter // nil without this duty
+		servers  *serverOrderer // nil without this duty
+		streams  *usageStreams
 	}
 
 	// dutyHolder holds a duty while this instance leads.
@@ -101,8 +110,8 @@
 		return nil
 	}
 	for _, name := range s.Names {
-		if name != DutyUsage {
-			return malformedDuty("names", "want %s, got %q", DutyUsage, name)
+		if name != DutyUsage && name != DutyServers {
+			return malformedDuty("names", "want %s or %s, got %q", DutyUsage, DutyServers, name)
 		}
 	}
 	switch {
@@ -145,8 +154,13 @@
 	}
 	now := time.Now()
 	m := &dutyManager{control: c, provider: provider, timing: tenure.DefaultTiming(s.Lease.Std()), process: rand.Text(), clock: clock.New(now)}
+	m.streams = newUsageStreams(m)
+	callRate := s.CallRate / float64(len(s.Names))
 	if slices.Contains(s.Names, DutyUsage) {
-		m.usage = newUsageReporter(m, ledger.Schedule{Length: s.Usage.Window.Std(), Late: s.Usage.Late.Std()}, s.CallRate)
+		m.usage = newUsageReporter(m, ledger.Schedule{Length: s.Usage.Window.Std(), Late: s.Usage.Late.Std()}, callRate)
+	}
+	if slices.Contains(s.Names, DutyServers) {
+		m.servers = newServerOrderer(m, callRate)
 	}
 	return m, nil
 }
@@ -160,19 +174,22 @@
 	if m != nil && m.usage != nil {
 		go m.usage.run(ctx)
 	}
+	if m != nil && m.servers != nil {
+		go m.servers.run(ctx)
+	}
 }
 
 // stop ends the calls of relays.
 func (m *dutyManager) stop() {
-	if m != nil && m.usage != nil {
-		m.usage.streams.stop()
+	if m != nil {
+		m.streams.stop()
 	}
 }
 
 // addHandlers adds the handlers of the calls that duties need.
 func (m *dutyManager) addHandlers(handlers map[string]wire.Handler) {
-	if m != nil && m.usage != nil {
-		handlers[message.MethodUsage] = wire.HandlerFunc(m.usage.streams.handleUsage)
+	if m != nil {
+		handlers[message.MethodUsage] = wire.HandlerFunc(m.streams.handleUsage)
 	}
 }
 
@@ -292,14 +309,22 @@
 
 // status adds to status what operators see of the duties.
 func (m *dutyManager) status(now time.Time, status *message.Status) {
-	if m == nil || m.usage == nil {
-		return
+	if m != nil && m.usage != nil {
+		status.Duties = append(status.Duties, m.usage.holder.status(now))
+		status.UsageWindows = m.usage.windows(m.clock.Time(now))
 	}
-	held := m.control.state.Tenure(DutyUsage)
-	duty := message.Duty{Name: DutyUsage, Holder: held.Holder, Token: held.Token}
-	if at := m.usage.holder.last.Load(); at != nil {
+	if m != nil && m.servers != nil {
+		status.Duties = append(status.Duties, m.servers.holder.status(now))
+		status.Servers = m.servers.counts(now)
+	}
+}
+
+// status returns what operators see of the duty.
+func (h *dutyHolder) status(now time.Time) message.Duty {
+	held := h.manager.control.state.Tenure(h.duty)
+	duty := message.Duty{Name: h.duty, Holder: held.Holder, Token: held.Token}
+	if at := h.last.Load(); at != nil {
 		duty.LastSuccess = settings.Duration(now.Sub(*at).Round(time.Millisecond))
 	}
-	status.Duties = append(status.Duties, duty)
-	status.UsageWindows = m.usage.windows(m.clock.Time(now))
+	return duty
 }
--- a/control/duties_test.go
+++ b/control/duties_test.go
@@ -7,12 +7,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
+	"endivedeck.example/internal/duties/replicas"
 	"endivedeck.example/internal/duties/tenure"
 	"endivedeck.example/internal/usage/ledger"
 	"endivedeck.example/internal/usage/meter"
@@ -55,12 +57,14 @@
 		after time.Duration // the start of the test
 		by    tenure.Tenure
 		usage meter.Window
+		order *replicas.Order // nil for a call that reports usage
 	}
 
 	fakeCall struct {
 		provider *fakeProvider
 		by       tenure.Tenure
 		usage    meter.Window
+		order    *replicas.Order
 	}
 
 	// fakeRelay reports the usage that the test counts.
@@ -70,6 +74,7 @@
 		client *wire.Client
 		cancel context.CancelFunc
 		tasks  sync.WaitGroup
+		active atomic.Int64 // requests at the servers of each of two domains; 0 reports no demand
 	}
 )
 
@@ -83,10 +88,14 @@
 	return &fakeCall{provider: p, by: by, usage: w}, nil
 }
 
+func (p *fakeProvider) PrepareServers(_ context.Context, by tenure.Tenure, o replicas.Order) (ProviderCall, error) {
+	return &fakeCall{provider: p, by: by, order: &o}, nil
+}
+
 func (c *fakeCall) Send(ctx context.Context) error {
 	p := c.provider
 	p.mu.Lock()
-	call := receivedCall{after: time.Since(p.start), by: c.by, usage: c.usage}
+	call := receivedCall{after: time.Since(p.start), by: c.by, usage: c.usage, order: c.order}
 	p.received = append(p.received, call)
 	silent, answer := p.silent, p.answer
 	p.mu.Unlock()
@@ -117,14 +126,27 @@
 // check fails the test if the calls break a promise: one set of counts for a window, one
 // holder for a token, no token lower than before, and no two holders in turns within the lease.
 func (p *fakeProvider) check(t *testing.T) {
+	t.Helper()
+	var usage, orders []receivedCall
+	for _, c := range p.calls() {
+		if c.order == nil {
+			usage = append(usage, c)
+		} else {
+			orders = append(orders, c)
+		}
+	}
+	checkCalls(t, usage)
+	checkCalls(t, orders)
+}
+
+func checkCalls(t *testing.T, calls []receivedCall) {
 	t.Helper()
 	counts := map[int64]string{}
 	holders := map[uint64]string{}
 	last := map[string]time.Duration{}
-	calls := p.calls()
 	for i, c := range calls {
 		text := fmt.Sprint(c.usage.Counts)
-		if before, known := counts[c.usage.Number]; known && before != text {
+		if before, known := counts[c.usage.Number]; known && before != text && c.order == nil {
 			t.Errorf("window %d: got counts %s after %s", c.usage.Number, text, before)
 		}
 		counts[c.usage.Number] = text
@@ -169,7 +191,7 @@
 		p := &fakeProvider{start: time.Now()}
 		testProvider = p
 		cl := &cluster{t: t, network: memory.NewNetwork(), controls: map[string]*instance{}, rolePolicy: "fixed", duties: DutySettings{
-			Provider: "fake", Address: "provider", Names: []string{DutyUsage}, CallRate: 50, Lease: durationOf(testLease),
+			Provider: "fake", Address: "provider", Names: []string{DutyUsage, DutyServers}, CallRate: 50, Lease: durationOf(testLease),
 			Usage: UsageSettings{Window: durationOf(testSchedule.Length), Late: durationOf(testSchedule.Late)},
 		}}
 		for i := range 3 {
@@ -236,6 +258,13 @@
 		now := time.Now()
 		report := message.UsageReport{Time: now.UnixMilli(), Complete: testSchedule.Complete(now)}
 		report.Windows, since = r.meter.Changes(since)
+		for _, domain := range []string{"east", "west"} {
+			for _, service := range []string{"assist", "ledger"} {
+				if active := int(r.active.Load()); active > 0 {
+					report.Demand = append(report.Demand, message.Demand{Service: service, Domain: domain, Servers: 2, Slots: 10, Active: active})
+				}
+			}
+		}
 		if err := call.Send(report); err != nil {
 			return
 		}
@@ -506,6 +535,7 @@
 		{"good", func(*DutySettings) {}},
 		{"no address", func(s *DutySettings) { *s = DutySettings{Names: s.Names} }},
 		{"unknown duty", func(s *DutySettings) { s.Names = []string{DutyUsage, "rebates"} }},
+		{"only servers", func(s *DutySettings) { s.Names, s.Usage = []string{DutyServers}, UsageSettings{} }},
 		{"unknown provider", func(s *DutySettings) { s.Provider = "other" }},
 		{"no lease", func(s *DutySettings) { s.Lease = 0 }},
 		{"no window", func(s *DutySettings) { s.Usage.Window = 0 }},
--- a/control/state.go
+++ b/control/state.go
@@ -6,6 +6,7 @@
 	"endivedeck.example/change"
 	"endivedeck.example/contract"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/duties/replicas"
 	"endivedeck.example/internal/duties/tenure"
 	"endivedeck.example/internal/usage/ledger"
 	"endivedeck.example/order"
@@ -32,6 +33,7 @@
 		Routes   *routes.Table          `cbor:"7,keyasint,omitempty"`
 		Take     *tenure.Take           `cbor:"8,keyasint,omitempty"`
 		Usage    *ledger.Close          `cbor:"9,keyasint,omitempty"`
+		Servers  *replicas.Order        `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Watcher is notified of state changes. Its methods are called on the
@@ -54,6 +56,7 @@
 		routes    *routes.Store
 		tenures   *tenure.Store
 		usage     *ledger.Store
+		servers   *replicas.Store
 		watchers  []Watcher
 	}
 
@@ -66,6 +69,7 @@
 		Routes    *routes.Store           `cbor:"5,keyasint,omitempty"`
 		Tenures   *tenure.Store           `cbor:"6,keyasint,omitempty"` // nil if no duty was ever held
 		Usage     *ledger.Store           `cbor:"7,keyasint,omitempty"` // nil if no window was ever closed
+		Servers   *replicas.Store         `cbor:"8,keyasint,omitempty"` // nil if no servers were ever ordered
 	}
 )
 
@@ -79,6 +83,7 @@
 		routes:    new(routes.Store),
 		tenures:   new(tenure.Store),
 		usage:     new(ledger.Store),
+		servers:   new(replicas.Store),
 	}
 }
 
@@ -126,6 +131,9 @@
 		return s.tenures.Apply(index, *c.Take), false
 	case c.Usage != nil:
 		return s.usage.Apply(*c.Usage), false
+	case c.Servers != nil:
+		s.servers.Apply(*c.Servers)
+		return nil, false
 	}
 	return fault.New(fault.Malformed, fault.NotRun, "log command has no content"), false
 }
@@ -141,12 +149,15 @@
 	if s.usage.Next > 0 {
 		saved.Usage = s.usage
 	}
+	if len(s.servers.Records) > 0 {
+		saved.Servers = s.servers
+	}
 	return wire.Encode(saved)
 }
 
 // Restore implements quorum.StateMachine.
 func (s *State) Restore(data []byte) error {
-	saved := stateSnapshot{Contracts: contract.NewStore(), Changes: change.NewStore(), Routes: new(routes.Store), Tenures: new(tenure.Store), Usage: new(ledger.Store)}
+	saved := stateSnapshot{Contracts: contract.NewStore(), Changes: change.NewStore(), Routes: new(routes.Store), Tenures: new(tenure.Store), Usage: new(ledger.Store), Servers: new(replicas.Store)}
 	if err := wire.Decode(data, &saved); err != nil {
 		return err
 	}
@@ -157,6 +168,7 @@
 	s.routes = saved.Routes
 	s.tenures = saved.Tenures
 	s.usage = saved.Usage
+	s.servers = saved.Servers
 	s.mu.Unlock()
 	s.notifyChanged()
 	return nil
@@ -242,6 +254,13 @@
 	return *s.usage
 }
 
+// ServerOrders returns the latest orders about the number of servers. They must not be modified.
+func (s *State) ServerOrders() replicas.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.servers
+}
+
 // OrderCount returns the number of order records.
 func (s *State) OrderCount() int {
 	s.mu.Lock()
@@ -264,5 +283,7 @@
 		c.Finish.At = now
 	case c.Shutdown != nil:
 		c.Shutdown.At = now
+	case c.Servers != nil:
+		c.Servers.At = now
 	}
 }
--- a/control/usage.go
+++ b/control/usage.go
@@ -25,7 +25,6 @@
 		holder    *dutyHolder
 		schedule  ledger.Schedule
 		collector *ledger.Collector
-		streams   *usageStreams
 		pace      *tenure.Pace
 		first     int64          // window in which this instance took the duty; 0 if it doesn't hold it
 		ended     map[int64]bool // closed windows that were reported or given up, until the log knows
@@ -33,8 +32,7 @@
 
 	// usageStreams receives the reports of relays.
 	usageStreams struct {
-		manager   *dutyManager
-		collector *ledger.Collector
+		manager *dutyManager
 
 		mu      rank.Mutex
 		open    map[*usageStream]bool
@@ -51,13 +49,11 @@
 )
 
 func newUsageReporter(m *dutyManager, schedule ledger.Schedule, callRate float64) *usageReporter {
-	collector := ledger.NewCollector(schedule, time.Now())
 	u := &usageReporter{
 		manager:   m,
 		holder:    newDutyHolder(m, DutyUsage),
 		schedule:  schedule,
-		collector: collector,
-		streams:   &usageStreams{manager: m, collector: collector, mu: rank.New(rank.Lease), open: map[*usageStream]bool{}},
+		collector: ledger.NewCollector(schedule, time.Now()),
 		pace:      tenure.NewPace(callRate),
 		ended:     map[int64]bool{},
 	}
@@ -209,6 +205,10 @@
 	return sum
 }
 
+func newUsageStreams(m *dutyManager) *usageStreams {
+	return &usageStreams{manager: m, mu: rank.New(rank.Lease), open: map[*usageStream]bool{}}
+}
+
 // handleUsage serves message.MethodUsage.
 func (s *usageStreams) handleUsage(call *wire.ServerCall) {
 	var hello message.UsageHello
@@ -262,8 +262,13 @@
 		if err := s.call.Receive(&report); err != nil {
 			return
 		}
-		now, clock := time.Now(), s.streams.manager.clock
-		clock.Observe(now, s.from.Relay, time.UnixMilli(report.Time))
-		s.streams.collector.Merge(clock.Time(now), s.from, report.Complete, report.Windows)
+		now, m := time.Now(), s.streams.manager
+		m.clock.Observe(now, s.from.Relay, time.UnixMilli(report.Time))
+		if m.usage != nil {
+			m.usage.collector.Merge(m.clock.Time(now), s.from, report.Complete, report.Windows)
+		}
+		if m.servers != nil && len(report.Demand) > 0 {
+			m.servers.demand.record(now, s.from.Relay, report.Demand)
+		}
 	}
 }
--- a/message/message.go
+++ b/message/message.go
@@ -209,6 +209,16 @@
 		Time     int64          `cbor:"1,keyasint"`           // of day at the relay, Unix milliseconds
 		Complete int64          `cbor:"2,keyasint,omitempty"` // number of the first window whose counts may still grow
 		Windows  []meter.Window `cbor:"3,keyasint,omitempty"`
+		Demand   []Demand       `cbor:"4,keyasint,omitempty"` // for services whose number of servers is ordered
+	}
+
+	// Demand is what a relay knows of the servers of a service in a failure domain.
+	Demand struct {
+		Service string `cbor:"1,keyasint"`
+		Domain  string `cbor:"2,keyasint"`
+		Servers int    `cbor:"3,keyasint"` // that take requests
+		Slots   int    `cbor:"4,keyasint"` // greatest of a server
+		Active  int    `cbor:"5,keyasint"` // requests of this relay at the servers
 	}
 
 	// OperateResponse is the result of an operator's request.
@@ -236,6 +246,15 @@
 		Duties       []Duty          `cbor:"8,keyasint,omitempty" json:"duties,omitempty"`
 		UsageWindows []UsageWindow   `cbor:"9,keyasint,omitempty" json:"usage,omitempty"` // open, or not known to be reported
 		Teams        []Team          `cbor:"10,keyasint,omitempty" json:"teams,omitempty"`
+		Servers      []ServerCount   `cbor:"11,keyasint,omitempty" json:"servers,omitempty"`
+	}
+
+	// ServerCount has the number of servers of a service in a failure domain.
+	ServerCount struct {
+		Service string `cbor:"1,keyasint" json:"service"`
+		Domain  string `cbor:"2,keyasint" json:"domain"`
+		Ordered int    `cbor:"3,keyasint" json:"ordered"`
+		Present int    `cbor:"4,keyasint" json:"present"` // that take requests
 	}
 
 	// Duty is a duty towards the provider.
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -47,6 +47,7 @@
 		hold   chan struct{}       // if not nil, subscriptions get nothing until it is closed
 		calls  []*wire.ServerCall  // open subscriptions
 		usage  map[string]uint64   // requests reported, by team
+		demand []message.Demand    // as reported last
 	}
 
 	// backendServer is a backend server that follows a script: one step for each
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
+	"endivedeck.example/roster"
 	"endivedeck.example/routes"
 	"endivedeck.example/settings"
 )
@@ -30,14 +32,16 @@
 	UsageSettings struct {
 		Window settings.Duration `json:"window" range:"0s..24h"` // length of a window; 0: usage isn't counted
 		Late   settings.Duration `json:"late" range:"0s..24h"`   // after the end of a window, when control's report is due
+		Demand bool              `json:"demand"`                 // report the demand for services whose number of servers is ordered
 	}
 
-	// usageReporter counts the requests of teams that backend servers began and reports them to the
-	// control instances. A nil one does nothing.
+	// usageReporter counts the requests of teams that backend servers began and reports them, and the
+	// demand, to the control instances. A nil one does nothing.
 	usageReporter struct {
 		relay       *Relay
+		demand      bool // is reported
 		schedule    ledger.Schedule
-		meter       *meter.Meter
+		meter       *meter.Meter // nil if usage isn't counted
 		clock       *clock.Clock
 		incarnation string
 		stopped     atomic.Bool // no more requests are counted
@@ -53,25 +57,29 @@
 	}
 )
 
-// newUsageReporter returns nil if usage isn't counted.
+// newUsageReporter returns nil if nothing is reported.
 func newUsageReporter(r *Relay, s UsageSettings) *usageReporter {
-	if s.Window <= 0 {
+	if s.Window <= 0 && !s.Demand {
 		return nil
 	}
-	return &usageReporter{
+	u := &usageReporter{
 		relay:       r,
+		demand:      s.Demand,
 		schedule:    ledger.Schedule{Length: s.Window.Std(), Late: s.Late.Std()},
-		meter:       meter.New(s.Window.Std()),
 		clock:       clock.New(time.Now()),
 		incarnation: rand.Text(),
 		mu:          rank.New(rank.Admission),
 		wake:        make(chan struct{}),
 	}
+	if s.Window > 0 {
+		u.meter = meter.New(s.Window.Std())
+	}
+	return u
 }
 
 // countRun counts that a backend server began to run the request.
 func (j *job) countRun(at time.Time) {
-	if u := j.relay.usage; u != nil && j.team != nil {
+	if u := j.relay.usage; u != nil && u.meter != nil && j.team != nil {
 		u.meter.Count(u.clock.Time(at), j.team.Name)
 	}
 }
@@ -122,7 +130,53 @@
 // interval returns the interval between reports to one control instance.
 func (u *usageReporter) interval() time.Duration {
 	shared := time.Duration(u.relay.relayCount.Load()) * time.Second / maxUsagePerSecond
-	return max(minUsageInterval, min(shared, u.schedule.Late/usageIntervalsToLag))
+	if u.meter != nil {
+		shared = min(shared, u.schedule.Late/usageIntervalsToLag)
+	}
+	return max(minUsageInterval, shared)
+}
+
+// report returns the counts that have changed since a sequence number, and the demand.
+func (u *usageReporter) report(now time.Time, since uint64) (message.UsageReport, uint64) {
+	report := message.UsageReport{Time: now.UnixMilli()}
+	if u.meter != nil {
+		u.meter.Drop(u.schedule.Oldest(u.clock.Time(now)))
+		report.Complete = u.complete(now) // before the counts are read
+		report.Windows, since = u.meter.Changes(since)
+	}
+	if u.demand {
+		report.Demand = u.relay.demand(now)
+	}
+	return report, since
+}
+
+// demand returns the relay's requests at the servers of services whose number is ordered.
+func (r *Relay) demand(now time.Time) []message.Demand {
+	servers := slices.DeleteFunc(r.roster.Servers(now), func(s roster.Server) bool {
+		service := r.routeView.Service(s.Service)
+		return service == nil || service.Scaling == nil
+	})
+	if len(servers) == 0 {
+		return nil
+	}
+	active := map[string]int{}
+	for _, load := range r.placement.Loads(now) {
+		active[load.Server] = load.Active
+	}
+	var list []message.Demand
+	for _, s := range servers {
+		i := slices.IndexFunc(list, func(d message.Demand) bool { return d.Service == s.Service && d.Domain == s.Domain })
+		if i < 0 {
+			i = len(list)
+			list = append(list, message.Demand{Service: s.Service, Domain: s.Domain})
+		}
+		if !s.Draining {
+			list[i].Servers++
+		}
+		list[i].Slots = max(list[i].Slots, s.Slots)
+		list[i].Active += active[s.ID]
+	}
+	return list
 }
 
 // complete returns the number of the first window whose counts may still grow.
@@ -160,11 +214,9 @@
 	var sent int64
 	for {
 		woken := u.woken()
-		now := time.Now()
-		u.meter.Drop(u.schedule.Oldest(u.clock.Time(now)))
-		report := message.UsageReport{Time: now.UnixMilli(), Complete: u.complete(now)} // complete is read before the counts
-		report.Windows, since = u.meter.Changes(since)
-		if len(report.Windows) > 0 || report.Complete != sent {
+		var report message.UsageReport
+		report, since = u.report(time.Now(), since)
+		if len(report.Windows)+len(report.Demand) > 0 || report.Complete != sent {
 			if err := call.Send(report); err != nil {
 				return err
 			}
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -8,6 +8,7 @@
 
 	"endivedeck.example/contract"
 	"endivedeck.example/golden"
+	"endivedeck.example/internal/duties/replicas"
 	"endivedeck.example/message"
 	"endivedeck.example/relay"
 	"endivedeck.example/routes"
@@ -15,6 +16,15 @@
 	"endivedeck.example/wire"
 )
 
+// pendingRequest is a request whose response the test awaits later.
+type pendingRequest struct {
+	testbed  *testbed
+	relay    *relay.Relay
+	response chan string
+}
+
+func (p *pendingRequest) run() { p.response <- p.testbed.sendTo(p.relay, "GET", "/a/", "", "") }
+
 // receiveUsage serves message.MethodUsage: it records the totals of teams.
 func (b *testbed) receiveUsage(call *wire.ServerCall) {
 	defer call.End()
@@ -24,6 +34,7 @@
 			return
 		}
 		b.mu.Lock()
+		b.demand = report.Demand
 		for _, w := range report.Windows {
 			for team, n := range w.Counts {
 				b.usage[team] = n // the tests use one window
@@ -100,6 +111,32 @@
 	return false
 }
 
+// TestDemand checks the demand that a relay reports for a service whose number of servers is
+// ordered, while a request is at one of its servers. There is none for other services.
+func TestDemand(t *testing.T) {
+	servers := []*backendServer{
+		{name: "a", domain: "east", script: []string{"<await>" + plainResponse(200, "good")}, release: make(chan struct{})},
+		{name: "b", domain: "east", service: "small", script: []string{plainResponse(200, "good")}},
+	}
+	b := newTestbedFor(t, routes.Service{Name: "assist", Scaling: &replicas.Bounds{Min: 1, Max: 3}}, oneRoute(routes.Idempotent, 1, false), servers...)
+	r := b.startRelayWith("counting", "near", func(s *relay.Settings) { s.Usage.Demand = true })
+	reported := func(want string) func() bool {
+		return func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return fmt.Sprintf("%+v", b.demand) == want
+		}
+	}
+	b.waitFor("no demand is reported", reported("[{Service:assist Domain:east Servers:1 Slots:8 Active:0}]"))
+	request := &pendingRequest{testbed: b, relay: r, response: make(chan string, 1)}
+	go request.run()
+	b.waitFor("the demand is reported", reported("[{Service:assist Domain:east Servers:1 Slots:8 Active:1}]"))
+	close(servers[0].release)
+	if got := <-request.response; !strings.HasPrefix(got, "200") {
+		t.Errorf("the request: got %s, want status 200", got)
+	}
+}
+
 // TestUsageAtStop checks that a relay that stops reports what it has counted just before.
 func TestUsageAtStop(t *testing.T) {
 	list := oneRoute(routes.Idempotent, 1, false)
--- a/routes/check.go
+++ b/routes/check.go
@@ -14,6 +14,9 @@
 		if s.Name == "" {
 			return malformed("a service has no name")
 		}
+		if b := s.Scaling; b != nil && (b.Min < 0 || b.Max < max(b.Min, 1) || b.Boot < 0) {
+			return malformed("service %q: the bounds of the number of servers are %d to %d, and %v until one has started", s.Name, b.Min, b.Max, b.Boot)
+		}
 		services[s.Name] = true
 	}
 	byHostPrefix := map[string]string{} // route names
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"endivedeck.example/internal/duties/replicas"
 )
 
 // Kinds of requests.
@@ -61,6 +63,8 @@
 		Name     string `cbor:"1,keyasint"`
 		MaxConns int    `cbor:"2,keyasint"` // limit per backend server over all clients; 0 for no limit
 		Engine   Engine `cbor:"3,keyasint"` // for a service of model engines
+
+		Scaling *replicas.Bounds `cbor:"4,keyasint,omitempty" json:",omitempty"` // of the number of servers; nil if it isn't the system's to choose
 	}
 
 	// Engine describes the KV cache of a service's model engines. In each
