--- a/control/usage.go
+++ b/control/usage.go
@@ -89,11 +89,7 @@
 	if next == 0 {
 		return u.first
 	}
-	oldest := u.schedule.Oldest(at)
-	if next < oldest {
-		u.manager.control.log.WithFields(logrus.Fields{"from": next, "before": oldest}).Error("usage windows skipped: no instance could close them in time")
-	}
-	return max(next, oldest)
+	return max(next, u.schedule.Oldest(at))
 }
 
 // closeNext closes the next window if that is possible now, and reports whether it did.
@@ -104,6 +100,7 @@
 		return false
 	}
 	c := u.manager.control
+	expected := c.state.Usage().Next
 	entry := ledger.Close{Window: u.collector.Sum(number), Missing: len(verdict.Missing)}
 	for ended := range u.ended {
 		entry.Ended = append(entry.Ended, ended)
@@ -117,6 +114,9 @@
 	for _, ended := range entry.Ended {
 		delete(u.ended, ended)
 	}
+	if expected != 0 && expected < number {
+		c.log.WithFields(logrus.Fields{"from": expected, "before": number, "index": result.Index}).Error("usage windows skipped: no instance could close them in time")
+	}
 	outcome, ok := result.Value.(ledger.Outcome)
 	log = log.WithField("index", result.Index)
 	switch {
