--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -69,6 +69,14 @@
 	return s != nil && s.active > 1 && now.Sub(s.lastSeen) > length
 }
 
+// SilentTo reports whether a server has sent nothing to any request of this relay for a time.
+func (t *Table) SilentTo(now time.Time, id string, length time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	return s == nil || now.Sub(s.lastSeen) > length
+}
+
 // Full reports whether as many requests run at a server as it has slots, by the load that
 // all relays put on it.
 func (t *Table) Full(now time.Time, id string) bool {
--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
@@ -65,7 +66,7 @@
 	r := &Relay{
 		link: newLinkMeter(0),
 		host: &kernel.Host{}, log: logrus.NewEntry(logger), metrics: &relayMetrics{set: metrics.NewSet()},
-		placement: placement.New(), retryBudget: budget.New(limit), quarantine: quarantine.New(),
+		placement: placement.New(), soon: rate.NewLimiter(soonPerSecond, soonBurst), retryBudget: budget.New(limit), quarantine: quarantine.New(),
 		upstream: upstream.New(upstream.Options{DialTimeout: time.Second}), dialect: headerDialect{}, routeView: routes.NewView(),
 	}
 	r.relayCount.Store(1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
@@ -95,6 +96,7 @@
 		quarantine    *quarantine.Table
 		evidence      *evidenceExchange
 		usage         *usageReporter // nil if usage isn't counted
+		soon          *rate.Limiter  // of asking another server soon, see stall.go
 		buffers       bufferLimit
 		link          *linkMeter
 		upstream      *upstream.Pool
@@ -169,6 +171,7 @@
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
 		returns:       newReturnCalendar(),
+		soon:          rate.NewLimiter(soonPerSecond, soonBurst),
 		quarantine:    quarantine.New(),
 		link:          newLinkMeter(settings.LinkRate),
 		retryBudget: budget.New(budget.Limit{
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -32,6 +32,13 @@
 	maxStallPart   = 0.8  // of the bound, for a stream that is slow all along
 	slowStall      = 1.3  // times the longest pause so far
 	startStallPart = 0.5  // of the latency objective, in addition to the expected time
+	silentPart     = 0.5  // of the bound, for which the server must have sent nothing to any request: another engine reads again what a stream has so far, so streams don't leave one that is merely slow
+	silenceRecheck = 20 * time.Millisecond
+
+	// What a relay may ask for so soon. Streams that leave many servers at a time would
+	// slow down those that are left.
+	soonPerSecond = 4
+	soonBurst     = 3
 
 	takeoverInterval = 300 * time.Millisecond // from a refusal until a server is asked again
 	sendsKept        = 1                      // not used for takeovers, but kept for a stream that breaks
@@ -46,26 +53,28 @@
 	stallTimer struct {
 		job          *job
 		cancel       context.CancelFunc // of the running attempt
+		server       string             // ID of that of the running attempt
 		executions   int                // of the request, with the running attempt
 		timer        *time.Timer        // nil if the attempt is never given up
 		lastProgress time.Time
 		longestPause time.Duration
 
-		mu         rank.Mutex
-		wait       time.Duration     // until the timer fires after an event
-		request    placement.Request // of the next takeover
-		position   streamPosition    // after which a server is asked to go on
-		forwarding bool              // events after position have arrived and are being forwarded
-		asked      []*takeover
-		accepted   *takeover // the stream is left for it
-		stopped    bool
+		mu           rank.Mutex
+		wait         time.Duration     // until the timer fires after an event
+		request      placement.Request // of the next takeover
+		position     streamPosition    // after which a server is asked to go on
+		waitingSince time.Time         // latest event, or the start
+		forwarding   bool              // events after position have arrived and are being forwarded
+		asked        []*takeover
+		accepted     *takeover // the stream is left for it
+		stopped      bool
 	}
 )
 
 // newStallTimer returns a running timer. executions is the number of executions of
 // the request with the running attempt, which cancel ends.
 func newStallTimer(j *job, executions int, wait time.Duration, cancel context.CancelFunc) *stallTimer {
-	t := &stallTimer{job: j, cancel: cancel, executions: executions, lastProgress: time.Now(), wait: wait, position: j.position, mu: rank.New(rank.Request)}
+	t := &stallTimer{job: j, cancel: cancel, server: j.serverID, executions: executions, lastProgress: time.Now(), waitingSince: time.Now(), wait: wait, position: j.position, mu: rank.New(rank.Request)}
 	if j.route.Kind != routes.Stream || !j.route.Retryable() || !t.mayAsk(t.lastProgress) {
 		return t
 	}
@@ -98,6 +107,14 @@
 	return min(streamStallTimeout, time.Duration(startStallPart*float64(j.route.LatencyObjective))) + expected
 }
 
+// mayAskSoon reports whether another server may be asked before streamStallTimeout. It counts
+// the attempt.
+func (t *stallTimer) mayAskSoon(now time.Time) bool {
+	r := t.job.relay
+	silence := time.Duration(silentPart * float64(t.job.route.PauseObjective))
+	return r.placement.SilentTo(now, t.server, silence) && r.soon.AllowN(now, 1)
+}
+
 // mayAsk reports whether the route allows that another server is asked.
 func (t *stallTimer) mayAsk(now time.Time) bool {
 	j := t.job
@@ -115,6 +132,10 @@
 	}
 	j := t.job
 	now := time.Now()
+	if idle := now.Sub(t.waitingSince); t.wait < streamStallTimeout && idle < streamStallTimeout && !t.mayAskSoon(now) {
+		t.timer.Reset(min(silenceRecheck, streamStallTimeout-idle))
+		return
+	}
 	if !t.position.resumable() || !t.mayAsk(now) || j.deadline.Sub(now) < minTimeLeft || !j.relay.placement.HasAlternative(now, t.request) || !j.countRetry() {
 		t.timer.Reset(t.wait)
 		return
@@ -228,7 +249,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.position = position
+	t.position, t.waitingSince = position, now
 	t.forwarding = false
 	if !t.stopped {
 		t.wait = t.job.stallWait(t.longestPause)
