Spread chats that go on over the engines without chats

Change: for a team's chat that goes on, an engine counts as fuller for chats and for the prefill placed in about one pause; under pressure the tight bound beside chats holds from four chats on.

--- a/placement/chat.go
+++ b/placement/chat.go
@@ -53,6 +53,7 @@
 		if t.lasting(now, s) > 1 {
 			fill += slowFill
 		}
+		fill += t.resumeFill(now, s, req, load.chats)
 		weight := s.rendezvousWeight(chatRendezvousKey)
 		if best == nil || fill < bestFill || fill == bestFill && weight > bestWeight {
 			best, bestQueue, bestFill, bestWeight = s, queue, fill, weight
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,7 @@
 		Team         string          // of the caller; empty for none
 		Rank         int             // of the request, by its team and route; 0 is the highest
 		Excluded     map[string]bool // IDs of servers not to use
+		Resumed      bool            // the response goes on after events that the caller has
 		SingleEngine bool            // use one engine for both prefill and decoding
 
 		PauseObjective time.Duration // longest pause between two events of the response; 0 if any is allowed
--- a/placement/teams_test.go
+++ b/placement/teams_test.go
@@ -123,3 +123,30 @@
 		t.Errorf("large team: got %+v, want a load that is too large", *n)
 	}
 }
+
+// TestResumedChats has all chats of an engine that has ended go on elsewhere at once. Their
+// prefills are spread over the engines without chats; new chats are packed as before.
+func TestResumedChats(t *testing.T) {
+	var got strings.Builder
+	for _, resumed := range []bool{true, false} {
+		table := newEngineTable()
+		place := func(req Request, n int) map[string]int {
+			req.Team, req.PauseObjective = "clinic", pauseObjective
+			counts := map[string]int{}
+			for range n {
+				c, err := table.Choose(start, req)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.Runner.ResponseBegun(start, 5*time.Millisecond)
+				counts[serverID(c.Runner)]++
+			}
+			return counts
+		}
+		before := place(chat(), 10)
+		req := chat()
+		req.Resumed = resumed
+		fmt.Fprintf(&got, "beside chats %v, resumed %v: %v\n", before, resumed, place(req, 9))
+	}
+	golden.Check(t, "resumed.golden", got.String())
+}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -33,6 +33,9 @@
 	if req.PauseObjective > 0 && req.Team != "" && s.Stage != roster.Prefill && !job.handoff && !tk.chat {
 		s.recent.add(now, job.prefillTime)
 	}
+	if tk.chat && req.resumes() {
+		s.recent.add(now, time.Duration(resumePart*float64(req.PauseObjective)))
+	}
 	if s.lastSeen.IsZero() {
 		s.lastSeen = now
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -229,6 +229,7 @@
 		Team:           team,
 		Rank:           j.route.Rank(j.team),
 		PauseObjective: j.route.PauseObjective,
+		Resumed:        j.position.lastID != "",
 		Service:        j.service,
 		Domain:         j.relay.host.Process.FailureDomain,
 		Prompt:         j.info.Prompt,
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -140,6 +140,7 @@
 		t.timer.Reset(t.wait)
 		return
 	}
+	t.request.Resumed = t.position.lastID != ""
 	t.request.ObjectiveLeft, t.request.TimeLeft = j.objectiveLeft(now), j.deadline.Sub(now)
 	choice, err := j.relay.placement.Choose(now, t.request)
 	if err != nil {
