--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -37,6 +37,9 @@
 	if req.PauseObjective > 0 && req.Team != "" && s.Stage != roster.Prefill && !job.handoff && !tk.chat {
 		s.recent.add(now, job.prefillTime)
 	}
+	if tk.chat && req.resumes() {
+		s.recent.add(now, time.Duration(resumePart*float64(req.PauseObjective)))
+	}
 	if s.lastSeen.IsZero() {
 		s.lastSeen = now
 	}
@@ -73,6 +76,14 @@
 	return s != nil && s.active > 1 && now.Sub(s.lastSeen) > length
 }
 
+// SilentTo reports whether a server has sent nothing to any request of this relay for a time.
+func (t *Table) SilentTo(now time.Time, id string, length time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	return s == nil || now.Sub(s.lastSeen) > length
+}
+
 // Full reports whether as many requests run at a server as it has slots, by the load that
 // all relays put on it.
 func (t *Table) Full(now time.Time, id string) bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"endivedeck.example/budget"
 	"endivedeck.example/fault"
@@ -100,6 +101,7 @@
 		evidence      *evidenceExchange
 		usage         *usageReporter // nil if usage isn't counted
 		ramps         *ramp.Fleet    // nil if servers aren't paced
+		soon          *rate.Limiter  // of asking another server soon, see stall.go
 		buffers       bufferLimit
 		link          *linkMeter
 		upstream      *upstream.Pool
@@ -175,6 +177,7 @@
 		placement:     placement.New(),
 		retryDetector: newRetryDetector(),
 		returns:       newReturnCalendar(),
+		soon:          rate.NewLimiter(soonPerSecond, soonBurst),
 		quarantine:    quarantine.New(),
 		link:          newLinkMeter(settings.LinkRate),
 		retryBudget: budget.New(budget.Limit{
