Charge frames from other processes to a budget of their own

Cause: a frame may have 64 MB, and as many are read side by side as the pool has workers; what a peer sends before anybody reads it was limited to 15 MB a connection. A hundred frames of 4 MB that stop a byte before their end took 574 to 757 MB of a process that may use 128.

Change: a fifth of the memory is for frames, apart from the callers' part. A frame is charged as its buffer grows, with the same rule of who gives way; what was received over a call that goes on is released. The windows of a connection begin at 256 KB and grow to 6 MB as they are read.

--- a/control/control.go
+++ b/control/control.go
@@ -188,7 +188,7 @@
 	c.bootstrap = newBootstrap(c, identity, hasIdentity, state)
 	runCtx, stop := context.WithCancel(context.Background())
 	c.stop = stop
-	c.server = wire.NewServer(c.listener, c.host.Pool, c.handlers())
+	c.server = wire.NewServerWithin(c.host.Peers, c.listener, c.host.Pool, c.handlers())
 	if c.settings.OperatorListen != "" {
 		if err := c.startOperatorAPI(); err != nil {
 			return err
--- a/gate/listener.go
+++ b/gate/listener.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -165,9 +164,12 @@
 	return list
 }
 
-func remoteIP(c net.Conn) netip.Addr {
-	address, _ := netip.ParseAddrPort(c.RemoteAddr().String())
-	return address.Addr()
+func remoteIP(c *net.TCPConn) string {
+	address, _ := c.RemoteAddr().(*net.TCPAddr)
+	if address == nil {
+		return ""
+	}
+	return address.IP.String()
 }
 
 // acceptCompleted accepts a connection that the kernel has completed. It returns
--- a/internal/callers/allowance/allowance.go
+++ b/internal/callers/allowance/allowance.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -27,6 +26,7 @@
 
 const (
 	callerShare  = 0.4  // of the memory of a process, for all callers together
+	peerShare    = 0.2  // of that memory, for all other processes of the system
 	reserveShare = 0.25 // of the budget, for accounts that hold at most smallBytes
 	addressShare = 0.75 // of the budget, for the callers of one address
 	roomShare    = 0.03 // of the budget, that is made free beyond what is needed
@@ -63,7 +63,7 @@
 	// Watcher is told which callers met a limit.
 	Watcher interface {
 		// Refused reports that a caller was refused, or was made to give way.
-		Refused(address netip.Addr, limit Limit, gaveWay bool)
+		Refused(address string, limit Limit, gaveWay bool)
 	}
 
 	// Budget is the memory of one process for its callers. Create it with New.
@@ -75,7 +75,7 @@
 		held     int64
 		leaving  int64 // of held: by accounts that were told to give way
 		accounts map[*Account]bool
-		byAddr   map[netip.Addr]int64
+		byAddr   map[string]int64
 		released chan struct{} // closed at the next release; nil if nobody waits for it
 	}
 
@@ -83,7 +83,7 @@
 	Account struct {
 		budget  *Budget
 		holder  Holder
-		address netip.Addr
+		address string
 		held    int64
 		lag     time.Duration // by which the caller is behind minRate, up to since
 		since   time.Time     // since when the process waits for the caller; zero if it doesn't
@@ -100,9 +100,16 @@
 	}
 )
 
-// For returns the limits of a process that may use the given memory, in bytes.
-func For(memory int64) Limits {
-	bytes := int64(callerShare * float64(memory))
+// For returns the limits for the callers of a process that may use the given memory, in
+// bytes.
+func For(memory int64) Limits { return limitsOf(callerShare * float64(memory)) }
+
+// ForPeers returns the limits for the other processes of the system that send to such a
+// process. Callers take nothing from them.
+func ForPeers(memory int64) Limits { return limitsOf(peerShare * float64(memory)) }
+
+func limitsOf(share float64) Limits {
+	bytes := int64(share)
 	return Limits{
 		Bytes:   bytes,
 		Reserve: int64(reserveShare * float64(bytes)),
@@ -117,13 +124,13 @@
 		watcher:  watcher,
 		mu:       rank.New(rank.Allowance),
 		accounts: map[*Account]bool{},
-		byAddr:   map[netip.Addr]int64{},
+		byAddr:   map[string]int64{},
 	}
 }
 
-// Open returns an account that holds nothing.
-func (b *Budget) Open(address netip.Addr, holder Holder) *Account {
-	a := &Account{budget: b, holder: holder, address: address.Unmap()}
+// Open returns an account that holds nothing, for a caller at an address, or of a name.
+func (b *Budget) Open(address string, holder Holder) *Account {
+	a := &Account{budget: b, holder: holder, address: address}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.accounts[a] = true
--- a/internal/callers/allowance/allowance_test.go
+++ b/internal/callers/allowance/allowance_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -35,7 +34,7 @@
 }
 
 // Refused implements Watcher.
-func (s *scene) Refused(address netip.Addr, limit Limit, gaveWay bool) {
+func (s *scene) Refused(address string, limit Limit, gaveWay bool) {
 	fmt.Fprintf(&s.text, "  %s met the limit of %s, gave way %v\n", address, limit, gaveWay)
 }
 
@@ -47,7 +46,7 @@
 
 func (s *scene) open(name, address string) *caller {
 	c := &caller{}
-	c.account = s.budget.Open(netip.MustParseAddr(address), c)
+	c.account = s.budget.Open(address, c)
 	c.account.Await(s.now)
 	s.names[c] = name
 	return c
--- a/kernel/callers.go
+++ b/kernel/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +18,10 @@
 
 var _ allowance.Watcher = (*callerWatch)(nil)
 
-// callerWatch counts and logs which callers met a limit of the process.
+// callerWatch counts and logs which callers, or other processes, met a limit of the
+// process.
 type callerWatch struct {
+	prefix  string // of the names of the metrics
 	log     *logrus.Entry
 	metrics *metrics.Set
 	logged  atomic.Int64 // when, in ns
@@ -41,17 +42,20 @@
 	return int64(softMemoryShare * float64(p.memoryBytes()))
 }
 
-func newCallersBudget(process ProcessSettings, log *logrus.Entry, set *metrics.Set) *allowance.Budget {
-	budget := allowance.New(allowance.For(process.memoryBytes()), &callerWatch{log: log, metrics: set})
-	set.NewGauge("callers_held_bytes", func() float64 { return float64(budget.Held()) })
-	return budget
+// newBudgets returns the budgets of a process for its callers and for other processes.
+func newBudgets(process ProcessSettings, log *logrus.Entry, set *metrics.Set) (callers, peers *allowance.Budget) {
+	callers = allowance.New(allowance.For(process.memoryBytes()), &callerWatch{log: log, metrics: set, prefix: "callers"})
+	peers = allowance.New(allowance.ForPeers(process.memoryBytes()), &callerWatch{log: log, metrics: set, prefix: "peers"})
+	set.NewGauge("callers_held_bytes", func() float64 { return float64(callers.Held()) })
+	set.NewGauge("peers_held_bytes", func() float64 { return float64(peers.Held()) })
+	return callers, peers
 }
 
 // Refused implements allowance.Watcher.
-func (w *callerWatch) Refused(address netip.Addr, limit allowance.Limit, gaveWay bool) {
-	name := "callers_refused_total"
+func (w *callerWatch) Refused(address string, limit allowance.Limit, gaveWay bool) {
+	name := w.prefix + "_refused_total"
 	if gaveWay {
-		name = "callers_closed_total"
+		name = w.prefix + "_closed_total"
 	}
 	w.metrics.GetOrCreateCounter(fmt.Sprintf("%s{limit=%q}", name, limit)).Inc()
 	now, last := time.Now().UnixNano(), w.logged.Load()
@@ -59,5 +63,5 @@
 		w.skipped.Add(1)
 		return
 	}
-	w.log.WithFields(logrus.Fields{"caller": address.String(), "limit": limit, "closed": gaveWay, "others": w.skipped.Swap(0)}).Warn("a caller met a limit of the process")
+	w.log.WithFields(logrus.Fields{w.prefix: address, "limit": limit, "closed": gaveWay, "others": w.skipped.Swap(0)}).Warn("a caller met a limit of the process")
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -102,6 +102,7 @@
 		Metrics *metrics.Set
 		Pool    *pool.Pool
 		Callers *allowance.Budget // of the memory that is held for callers; nil for one of each server
+		Peers   *allowance.Budget // of the memory that is held for other processes; nil for one of each server
 	}
 
 	// Kernel runs one role. Create it with New.
@@ -168,7 +169,7 @@
 		Metrics: set,
 		Pool:    pool.New(process.Workers, process.Backlog),
 	}
-	host.Callers = newCallersBudget(process, log, set)
+	host.Callers, host.Peers = newBudgets(process, log, set)
 	role, err := factory(host)
 	if err != nil {
 		return nil, err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -180,7 +180,7 @@
 
 // Start implements kernel.Role.
 func (r *Relay) Start(context.Context) error {
-	r.peerServer = wire.NewServer(r.peerListener, r.host.Pool, map[string]wire.Handler{
+	r.peerServer = wire.NewServerWithin(r.host.Peers, r.peerListener, r.host.Pool, map[string]wire.Handler{
 		message.MethodLoads: wire.HandlerFunc(r.receiveLoads),
 	})
 	r.subscribeToControls(r.settings.Control)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -192,7 +192,7 @@
 		Holder:           s,
 		Log:              s.log,
 	})
-	s.server = wire.NewServer(s.listener, s.host.Pool, map[string]wire.Handler{
+	s.server = wire.NewServerWithin(s.host.Peers, s.listener, s.host.Pool, map[string]wire.Handler{
 		message.MethodGrants:      wire.HandlerFunc(s.grantSender.serveSubscription),
 		message.MethodGenerate:    wire.HandlerFunc(s.streams.serveGenerate),
 		message.MethodCancel:      wire.HandlerFunc(s.streams.serveCancel),
--- a/wire/quicline/quicline.go
+++ b/wire/quicline/quicline.go
@@ -27,6 +27,13 @@
 	alpnProtocol       = "endivedeck/1"
 	maxIncomingStreams = 1 << 16
 	streamCancelCode   = 1
+
+	// Bytes that a peer may have sent and nobody has read, of a stream and of a
+	// connection: at first, and once they are read as fast as they come.
+	firstStreamBytes = 128 << 10
+	firstConnBytes   = 256 << 10
+	mostStreamBytes  = 4 << 20
+	mostConnBytes    = 6 << 20
 )
 
 var (
@@ -196,5 +203,10 @@
 		KeepAlivePeriod:      wire.KeepAliveInterval,
 		HandshakeIdleTimeout: wire.KeepAliveTimeout,
 		MaxIncomingStreams:   maxIncomingStreams,
+
+		InitialStreamReceiveWindow:     firstStreamBytes,
+		InitialConnectionReceiveWindow: firstConnBytes,
+		MaxStreamReceiveWindow:         mostStreamBytes,
+		MaxConnectionReceiveWindow:     mostConnBytes,
 	}
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/callers/allowance"
 	"endivedeck.example/pool"
 	"endivedeck.example/rank"
 )
@@ -14,6 +15,9 @@
 // that the reply can still be delivered.
 const lingerTime = 200 * time.Millisecond
 
+// defaultMemory is that of a process, in bytes, for a server without a budget.
+const defaultMemory = 1 << 30
+
 type (
 	// Handler serves the calls of a method.
 	Handler interface {
@@ -33,15 +37,24 @@
 		body       []byte // of the request
 		stream     Stream
 		server     *Server
+		account    *allowance.Account // of what is held for the peer
 		finishOnce sync.Once
 	}
 
+	// chargedReader reads one frame of the peer of a call. The server waits for the
+	// peer from its first bytes on.
+	chargedReader struct {
+		call  *ServerCall
+		begun bool
+	}
+
 	// Server accepts calls and runs their handlers on a worker pool. Create it
 	// with NewServer.
 	Server struct {
 		listener Listener
 		workers  *pool.Pool
 		handlers map[string]Handler
+		budget   *allowance.Budget // of what is held for peers
 
 		mu        rank.Mutex
 		conns     map[Conn]bool
@@ -74,14 +87,25 @@
 // Handle implements Handler.
 func (f HandlerFunc) Handle(call *ServerCall) { f(call) }
 
-// NewServer returns a server that accepts calls on listener. It runs the
-// handlers, given by method, on the workers of a pool.
+// NewServer is NewServerWithin with a budget of its own.
 func NewServer(listener Listener, workers *pool.Pool, handlers map[string]Handler) *Server {
+	return NewServerWithin(nil, listener, workers, handlers)
+}
+
+// NewServerWithin returns a server that accepts calls on listener. It runs the
+// handlers, given by method, on the workers of a pool. What it holds of the requests of
+// calls is charged to budget; if that is nil, to one of its own for a process of the
+// default size.
+func NewServerWithin(budget *allowance.Budget, listener Listener, workers *pool.Pool, handlers map[string]Handler) *Server {
+	if budget == nil {
+		budget = allowance.New(allowance.ForPeers(defaultMemory), nil)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		listener: listener,
 		workers:  workers,
 		handlers: handlers,
+		budget:   budget,
 		mu:       rank.New(rank.Connection),
 		conns:    map[Conn]bool{},
 		cancel:   cancel,
@@ -195,6 +219,7 @@
 			return
 		}
 		call := &ServerCall{Peer: c.conn.Peer(), stream: stream, server: c.server}
+		call.account = c.server.budget.Open(call.Peer, call)
 		if !c.server.addCall() {
 			call.refuse(fault.New(fault.Unavailable, fault.NotRun, "call refused: the server is stopping"))
 			continue
@@ -210,8 +235,12 @@
 func (c *ServerCall) Run() {
 	_ = c.stream.SetDeadline(time.Now().Add(requestReadTimeout))
 	var r requestFrame
-	if err := ReadFrame(c.stream, &r); err != nil {
-		c.Fail(fault.New(fault.Malformed, fault.NotRun, "reading the request of a call: %v", err))
+	if _, err := c.receive(&r); err != nil {
+		kind := fault.Malformed
+		if fault.KindOf(err) == fault.Overloaded {
+			kind = fault.Overloaded
+		}
+		c.Fail(fault.New(kind, fault.NotRun, "reading the request of a call: %v", err))
 		return
 	}
 	_ = c.stream.SetDeadline(time.Time{})
@@ -229,7 +258,39 @@
 func (c *ServerCall) Decode(value any) error { return Decode(c.body, value) }
 
 // Receive reads another message that the caller sent after the request.
-func (c *ServerCall) Receive(value any) error { return ReadFrame(c.stream, value) }
+func (c *ServerCall) Receive(value any) error {
+	held, err := c.receive(value)
+	c.account.Shrink(held)
+	return err
+}
+
+// receive reads a message and returns how many bytes it has charged to the peer.
+func (c *ServerCall) receive(value any) (held int64, err error) {
+	defer func() { c.account.Rest(time.Now()) }()
+	err = readFrame(&chargedReader{call: c}, value, func(n int) bool {
+		granted := c.account.Acquire(int64(n))
+		if granted {
+			held += int64(n)
+		}
+		return granted
+	})
+	return held, err
+}
+
+// GiveWay implements allowance.Holder: the call fails while its request is being read.
+func (c *ServerCall) GiveWay() { c.stream.Cancel() }
+
+// Read implements io.Reader. It notes what has come from the peer.
+func (r *chargedReader) Read(p []byte) (int, error) {
+	n, err := r.call.stream.Read(p)
+	now := time.Now()
+	if !r.begun {
+		r.begun = true
+		r.call.account.Restart(now)
+	}
+	r.call.account.Moved(now, n)
+	return n, err
+}
 
 // Send sends a reply and leaves the call open for further ones.
 func (c *ServerCall) Send(value any) error {
@@ -264,12 +325,14 @@
 func (c *ServerCall) Cancel() { c.stream.Cancel() }
 
 func (c *ServerCall) finish() {
+	c.account.Close()
 	_ = c.stream.Close()
 	c.server.openCalls.Done()
 }
 
 // refuse replies with an error to a call that addCall didn't count as open.
 func (c *ServerCall) refuse(err error) {
+	c.account.Close()
 	_ = WriteFrame(c.stream, replyFrame{Error: fault.FromError(err)})
 	_ = c.stream.Close()
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -146,7 +146,11 @@
 
 // ReadFrame reads one frame and decodes it into value. It returns io.EOF if
 // the stream ends before the first byte of the frame.
-func ReadFrame(r io.Reader, value any) error {
+func ReadFrame(r io.Reader, value any) error { return readFrame(r, value, noCharge) }
+
+// readFrame is ReadFrame that calls charge before it allocates a number of bytes. It fails
+// if charge returns false.
+func readFrame(r io.Reader, value any, charge func(n int) bool) error {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
@@ -155,21 +159,30 @@
 	if size > MaxFrameBytes {
 		return fault.New(fault.TooLarge, fault.NotRun, "frame too large: %d bytes, limit %d", size, MaxFrameBytes)
 	}
-	body, err := readBody(r, size)
+	body, err := readBody(r, size, charge)
 	if err != nil {
 		return err
 	}
 	return Decode(body, value)
 }
 
-// readBody reads size bytes. It allocates a chunk at a time, so that a peer
-// can't make it allocate up to MaxFrameBytes by sending only a length.
-func readBody(r io.Reader, size int) ([]byte, error) {
-	body := make([]byte, 0, min(size, readChunkBytes))
+func noCharge(int) bool { return true }
+
+// readBody reads size bytes. Its buffer grows with what arrives, so that a peer can't make
+// it allocate up to MaxFrameBytes by sending only a length.
+func readBody(r io.Reader, size int, charge func(n int) bool) ([]byte, error) {
+	var body []byte
 	for len(body) < size {
-		n := min(size-len(body), readChunkBytes)
+		if len(body) == cap(body) {
+			next := min(size, max(2*cap(body), readChunkBytes))
+			if !charge(next - cap(body)) {
+				return nil, fault.New(fault.Overloaded, fault.NotRun, "no room for a frame of %d bytes", size)
+			}
+			body = append(make([]byte, 0, next), body...)
+		}
 		start := len(body)
-		body = append(body, make([]byte, n)...)
+		n := min(cap(body)-start, readChunkBytes)
+		body = body[:start+n]
 		if _, err := io.ReadFull(r, body[start:]); err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
