Apply the limits of the routes to heads and pauses

Cause: of the operator's limits only that of bodies was applied; a connection could stay idle for two minutes where the manifest says 15 s, so that idle ones filled the table of connections. A head that was cut by a refusal was answered with 400, as if it had been malformed.

Change: the limits for the size of a head, the time to send one and the pause between requests travel with the routes, and a relay applies them to its open connections. Sizes and times of heads have a margin, since neither is known exactly. A request that is refused within its head gets 503.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -26,7 +26,8 @@
 const (
 	defaultMemory     = 1 << 30 // bytes
 	minBodyGrowth     = 4 << 10
-	refusedRetryAfter = "1" // seconds
+	headSlackBytes    = 4 << 10 // over the limit of a head, whose size isn't known to the byte
+	refusedRetryAfter = "1"     // seconds
 )
 
 type (
@@ -40,6 +41,14 @@
 		IdleTimeout    settings.Duration `json:"idleTime" range:"1s..1h"`
 	}
 
+	// CallerLimits are limits that may change while a Server runs. 0 stands for no limit
+	// beside that of Limits.
+	CallerLimits struct {
+		MaxHeadBytes int64         // of a request
+		HeadTime     time.Duration // from the first byte of a head to its end
+		IdleTime     time.Duration // from a response to the next request; goes before Limits.IdleTimeout
+	}
+
 	// Report counts what happened since a Server began to drain or stop.
 	Report struct {
 		Answered int // requests
@@ -125,6 +134,13 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// SetCallerLimits sets limits for the heads and pauses that begin from now on.
+func (s *Server) SetCallerLimits(limits CallerLimits) {
+	s.listener.maxHeadBytes.Store(limits.MaxHeadBytes)
+	s.listener.headTime.Store(int64(limits.HeadTime))
+	s.listener.idleTime.Store(int64(limits.IdleTime))
+}
+
 // Stop closes the listener and waits until all connections are closed. A
 // connection is closed after its next response, or when it has been silent for a
 // moment. When ctx is done first, Stop closes the remaining connections and
@@ -234,7 +250,7 @@
 			refuse(w, http.StatusServiceUnavailable)
 			return
 		}
-		if most := s.listener.maxHeadBytes.Load(); most > 0 && headBytes(r) > most {
+		if most := s.listener.maxHeadBytes.Load(); most > 0 && headBytes(r) > most+headSlackBytes {
 			refuse(w, http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
--- a/gate/listener.go
+++ b/gate/listener.go
@@ -20,6 +20,7 @@
 
 const (
 	quietTime  = 200 * time.Millisecond // for which a connection must be silent before a stopping server closes it
+	headSlack  = 2 * time.Second        // over the limit of a head, for links that lose packets
 	headTime   = time.Second            // longest pause in the head of a request at a stopping server
 	lingerTime = 200 * time.Millisecond // for a client to close its side of a connection
 
@@ -35,6 +36,9 @@
 	errNoMemory = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("no room for what the caller sends")}
 )
 
+// headRefusal is the answer to a request that was refused within its head.
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + refusedRetryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Phases of a connection.
 const (
 	waiting   phase = iota // for the first byte of a request
@@ -66,7 +70,7 @@
 		budget       *allowance.Budget
 		maxHeadBytes atomic.Int64 // of a request; 0 for no limit beside that of net/http
 		headTime     atomic.Int64 // longest time from the first byte of a head to its end, in ns; 0 for none beside that of net/http
-		idleTime     atomic.Int64 // longest time between two requests, in ns; 0 for none beside that of net/http
+		idleTime     atomic.Int64 // longest time from a response to the next request, in ns; 0 for that of net/http
 
 		quietTime time.Duration // longer in a test
 		crossed   atomic.Int64  // see Report
@@ -89,6 +93,7 @@
 		held     int64     // bytes charged to account
 		head     int64     // of held: for the head of a request that is being read
 		begun    time.Time // when the first byte of that head was received
+		served   bool      // a request has been answered
 		writing  bool
 		leaving  bool      // the connection must give way to others
 		deadline time.Time // set by the HTTP server
@@ -297,12 +302,21 @@
 		}
 		c.stay()
 	}
-	if n > 0 && !c.received(p[:n]) {
+	if n > 0 && !c.received(p[:n]) || n == 0 && err != nil && c.isLeavingHead() {
+		c.refuseHead()
 		return 0, errNoMemory
 	}
 	return n, err
 }
 
+// refuseHead answers a request whose head isn't complete, and so hasn't run. The HTTP
+// server can't: it takes what has come for the whole of a malformed head.
+func (c *conn) refuseHead() {
+	_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed
+	_, _ = io.WriteString(c.TCPConn, headRefusal)              // the caller may have closed the connection
+	_ = c.CloseWrite()
+}
+
 // Write implements net.Conn. It notes how the caller takes what is written.
 func (c *conn) Write(p []byte) (int, error) {
 	c.setWriting(true)
@@ -516,6 +530,7 @@
 	c.last = now
 	extra := int64(0)
 	if p == waiting {
+		c.served = true
 		extra = c.held - allowance.ConnectionBytes
 		c.held -= extra
 		c.head = 0
@@ -547,10 +562,10 @@
 	switch {
 	case c.leaving:
 		return c.TCPConn.SetReadDeadline(longAgo)
-	case c.phase == waiting:
-		t = earliest(t, c.last, time.Duration(c.listener.idleTime.Load()))
-	case c.phase == receiving:
-		t = earliest(t, c.begun, time.Duration(c.listener.headTime.Load()))
+	case c.phase == waiting && c.served && c.listener.idleTime.Load() > 0:
+		t = c.last.Add(time.Duration(c.listener.idleTime.Load()))
+	case c.phase == receiving && c.listener.headTime.Load() > 0:
+		t = earlier(t, c.begun.Add(time.Duration(c.listener.headTime.Load())+headSlack))
 	}
 	if !c.stopped.IsZero() && c.phase != active {
 		limit := c.last.Add(c.listener.quietTime)
@@ -564,15 +579,21 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// earliest returns the earlier of a deadline and the end of a limit that began at start.
-// A deadline or a limit of 0 is none.
-func earliest(deadline, start time.Time, limit time.Duration) time.Time {
-	if end := start.Add(limit); limit > 0 && (deadline.IsZero() || end.Before(deadline)) {
-		return end
+// earlier returns the earlier of a deadline, which is none if zero, and a time.
+func earlier(deadline, t time.Time) time.Time {
+	if deadline.IsZero() || t.Before(deadline) {
+		return t
 	}
 	return deadline
 }
 
+// isLeavingHead reports whether the connection must give way within the head of a request.
+func (c *conn) isLeavingHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving && c.phase == receiving
+}
+
 func (c *conn) isLeaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/control.go
+++ b/relay/control.go
@@ -82,6 +82,7 @@
 // applyUpdate applies an update from the control instance at address from.
 func (r *Relay) applyUpdate(now time.Time, from string, update message.RelayUpdate) {
 	if update.Routes != nil && r.routeView.Install(*update.Routes) {
+		r.applyLimits()
 		names := r.routeView.RouteNames()
 		r.placement.Configure(r.routeView.Engines(), names)
 		r.retryDetector.retain(names)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,7 @@
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
+		limited       atomic.Pointer[gate.Server] // callerServer, once it has been started
 		readyServer   *gate.Server
 		stopStarted   atomic.Pointer[time.Time] // when Stop was called; nil before
 		running       atomic.Int64              // requests being handled
@@ -194,7 +195,22 @@
 	}
 	r.readyServer = ready
 	r.callerServer, err = gate.NewWithin(r.host.Callers, r.settings.Listen, r, r.settings.Limits, nil)
-	return err
+	if err != nil {
+		return err
+	}
+	r.limited.Store(r.callerServer)
+	r.applyLimits()
+	return nil
+}
+
+// applyLimits puts the limits of the routes in force at the server for callers.
+func (r *Relay) applyLimits() {
+	server := r.limited.Load()
+	if server == nil {
+		return // Start calls applyLimits again
+	}
+	limits := r.routeView.Limits()
+	server.SetCallerLimits(gate.CallerLimits{MaxHeadBytes: limits.MaxHeadBytes, HeadTime: limits.HeaderTimeout, IdleTime: limits.IdleTimeout})
 }
 
 // Reload implements kernel.Reloader. It subscribes to control instances that
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -72,7 +72,10 @@
 
 	// Limits are the limits of requests. 0 stands for no limit.
 	Limits struct {
-		MaxBodyBytes int64 `cbor:"1,keyasint"` // size of a request body
+		MaxBodyBytes  int64         `cbor:"1,keyasint"`           // size of a request body
+		MaxHeadBytes  int64         `cbor:"2,keyasint,omitempty"` // size of the head of a request
+		HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"` // from the first byte of a head to its end
+		IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"` // from a response to the next request on its connection
 	}
 )
 
