--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"endivedeck.example/fault"
@@ -19,6 +19,9 @@
 	maxHeaderBytes    = 64 << 10 // of a response header
 )
 
+// framingHeaders are written by Request.write itself.
+var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
 // Whether a response belongs to the request that it was read for.
 const (
 	Own     Match = iota // it does
@@ -62,7 +65,7 @@
 	// requestWrite writes one request to a connection.
 	requestWrite struct {
 		conn    *conn
-		request *http.Request
+		request Request
 		done    chan struct{}
 		err     error
 	}
@@ -81,7 +84,7 @@
 		c.close()
 		return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "deadline passed or request canceled before anything was sent to %s", address)
 	}
-	w := &requestWrite{conn: c, request: r.httpRequest(), done: make(chan struct{})}
+	w := &requestWrite{conn: c, request: r, done: make(chan struct{})}
 	if len(r.Body) > maxSyncBodyBytes {
 		go w.run() // the server may respond before it has read the body
 	} else {
@@ -107,32 +110,37 @@
 	return fault.New(fault.Broken, fault.MaybeRun, "no valid response header from %s: %v", address, err)
 }
 
-func (r *Request) httpRequest() *http.Request {
-	if _, given := r.Header["User-Agent"]; !given {
-		r.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
-	}
-	request := &http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Opaque: r.Path},
-		Host:          r.Host,
-		Header:        r.Header,
-		ContentLength: int64(len(r.Body)),
-	}
-	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	return request
-}
-
 // run writes the request and closes done.
 func (w *requestWrite) run() {
 	defer close(w.done)
-	w.err = w.request.Write(w.conn.writer)
+	w.err = w.request.write(w.conn.writer)
 	if w.err == nil {
 		w.err = w.conn.writer.Flush()
 	}
 }
 
+// write writes the request. Its target is sent as it is: net/http would change one that
+// begins with two slashes.
+func (r *Request) write(w *bufio.Writer) error {
+	_, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Path, r.Host)
+	if err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		if _, err := fmt.Fprintf(w, "Content-Length: %d\r\n", len(r.Body)); err != nil {
+			return err
+		}
+	}
+	if err := r.Header.WriteSubset(w, framingHeaders); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	_, err = w.Write(r.Body)
+	return err
+}
+
 // succeeded reports whether the whole request has been written.
 func (w *requestWrite) succeeded() bool {
 	select {
@@ -149,7 +157,7 @@
 func (c *conn) readResponse(w *requestWrite, r Request) (*Response, error) {
 	strays := c.reused // responses to other requests may come, or have come
 	for range maxStrayResponses + 1 {
-		response, err := c.readHeader(w.request)
+		response, err := c.readHeader(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -184,10 +192,10 @@
 }
 
 // readHeader reads one response header of at most about maxHeaderBytes.
-func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
+func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.head.left = maxHeaderBytes
 	c.head.limited = true
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.head.limited = false
 	return response, err
 }
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -85,7 +85,7 @@
 		c := newConn(newPool(), "server", source)
 		c.reused = reused
 		r := Request{Method: http.MethodGet, Host: "h", Path: "/", Header: http.Header{}, Match: func(h http.Header) Match { return matchID(h.Get(idHeader), "one") }}
-		w := &requestWrite{conn: c, request: r.httpRequest(), done: make(chan struct{})}
+		w := &requestWrite{conn: c, request: r, done: make(chan struct{})}
 		w.run()
 		resp, err := c.readResponse(w, r)
 		if limit := maxHeadRead + len(prefix); source.read > limit {
@@ -113,7 +113,7 @@
 	for b.Loop() {
 		c := newConn(p, "server", &endlessConn{prefix: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
 		r := Request{Method: http.MethodGet, Host: "h", Path: "/", Header: http.Header{}}
-		w := &requestWrite{conn: c, request: r.httpRequest(), done: make(chan struct{})}
+		w := &requestWrite{conn: c, request: r, done: make(chan struct{})}
 		w.run()
 		resp, err := c.readResponse(w, r)
 		if err != nil {
@@ -137,7 +137,7 @@
 		source := &endlessConn{prefix: "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", n) + "\r\nContent-Length: 4\r\n\r\ngood"}
 		c := newConn(newPool(), "server", source)
 		r := Request{Method: http.MethodGet, Host: "h", Path: "/", Header: http.Header{}}
-		w := &requestWrite{conn: c, request: r.httpRequest(), done: make(chan struct{})}
+		w := &requestWrite{conn: c, request: r, done: make(chan struct{})}
 		w.run()
 		_, err := c.readResponse(w, r)
 		if got, want := err == nil, n < maxHeaderBytes; got != want {
