Add a crowd whose bodies take much more memory decoded, red

A body of 4 MB of empty JSON objects becomes hundreds of MB when it is decoded. The crowd is 20 members.

--- a/cmd/endivedeck/crowd_test.go
+++ b/cmd/endivedeck/crowd_test.go
@@ -113,6 +113,11 @@
 			interval.Sleep(m.site.system.ctx, dripPause)
 		}
 	}},
+	{"bodies-of-many-elements", 20, func(m *member) {
+		list := strings.Repeat("{},", (crowdBodyBytes-100)/2/3)
+		body := `{"version":2,"messages":[` + list[:len(list)-1] + `],"routes":[` + list + `{}]}`
+		m.write(m.head(len(body)), body)
+	}},
 	{"unread-answers", 200, func(m *member) { m.write(strings.Repeat(m.request(m.site.large), 50)) }},
 	{"idle-connections", crowdConnections + 200, func(m *member) { m.exchange(m.request("/nothing")) }},
 	{"handshakes", crowdConnections + 200, func(*member) {}},
