--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -104,6 +104,7 @@
 		Metrics *metrics.Set
 		Pool    *pool.Pool
 		Callers *allowance.Budget // of the memory that is held for callers; nil for one of each server
+		Peers   *allowance.Budget // of the memory that is held for other processes; nil for one of each server
 	}
 
 	// Kernel runs one role. Create it with New.
@@ -171,7 +172,7 @@
 		Metrics: set,
 		Pool:    pool.New(process.Workers, process.Backlog),
 	}
-	host.Callers = newCallersBudget(process, log, set)
+	host.Callers, host.Peers = newBudgets(process, log, set)
 	role, err := factory(host)
 	if err != nil {
 		return nil, err
--- a/relay/control.go
+++ b/relay/control.go
@@ -90,6 +90,7 @@
 		r.applyServers(now, from)
 	}
 	if update.Routes != nil && r.routeView.Install(*update.Routes) {
+		r.applyLimits()
 		names := r.routeView.RouteNames()
 		r.placement.Configure(r.routeView.Engines(), names)
 		r.retryDetector.retain(names)
