--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -26,9 +26,12 @@
 	// stretch of 600 ms moves it by 15%, and the time after it moves it back.
 	medianRate = 0.25
 
-	// learningRate is the same during an engine's first learningTime of samples.
+	// learningRate is the same at an engine's first sample. It falls to medianRate within
+	// learningTime of samples. After knownTime of samples the engine is compared with
+	// others.
 	learningRate = 3.0
-	learningTime = 700 * time.Millisecond
+	learningTime = 3 * time.Second
+	knownTime    = 700 * time.Millisecond
 
 	maxSampleTime = 100 * time.Millisecond // time that one sample stands for at most
 
@@ -58,10 +61,7 @@
 func (m *Model) Observe(now time.Time, logRatio float64) {
 	logRatio = min(max(logRatio, -maxLogRatio), maxLogRatio)
 	covered := min(max(now.Sub(m.At), time.Millisecond), maxSampleTime)
-	rate := medianRate
-	if !m.Known() {
-		rate = learningRate
-	}
+	rate := max(learningRate*(1-m.Learned.Seconds()/learningTime.Seconds()), medianRate)
 	m.Deviation = m.currentDeviation(now)
 	m.Deviation += deviationWeight * (logRatio - m.Median - m.Deviation)
 	step := rate * covered.Seconds()
@@ -71,7 +71,7 @@
 }
 
 // Known reports whether there were enough samples to say how fast the engine is.
-func (m *Model) Known() bool { return m.Learned >= learningTime }
+func (m *Model) Known() bool { return m.Learned >= knownTime }
 
 // Lasting returns by which factor the engine is slower than usual all along. usual is the
 // median of Median over the engines of its kind. It is 1 within the dead band.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -34,9 +34,11 @@
 	defer t.mu.Unlock()
 	var list []Load
 	for _, s := range t.servers {
-		l := Load{Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats, Recent: s.recent.now(now).Truncate(time.Millisecond)}
-		s.tellSpeed(now, &l)
-		if l.Active > 0 || l.Samples > 0 || l.Recent > 0 {
+		l := Load{
+			Server: s.ID, Pending: s.pending, Late: s.latePending, Active: s.active, Chats: s.chats, Recent: s.recent.now(now).Truncate(time.Millisecond),
+			Answering: s.speeds[answering].recent(now), Generating: s.speeds[generating].recent(now),
+		}
+		if l.Active > 0 || l.Answering.Count > 0 || l.Generating.Count > 0 || l.Recent > 0 {
 			list = append(list, l)
 		}
 	}
@@ -157,7 +159,8 @@
 	loads := t.peerLoads[relay].loads
 	for _, l := range list {
 		if s := t.servers[l.Server]; s != nil {
-			s.heardSpeed(now, before[l.Server], l)
+			s.speeds[answering].heard(now, before[l.Server].Answering, l.Answering)
+			s.speeds[generating].heard(now, before[l.Server].Generating, l.Generating)
 		}
 		if l == (Load{Server: l.Server}) {
 			delete(loads, l.Server)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -78,9 +78,8 @@
 		Recent  time.Duration `cbor:"8,keyasint,omitempty"` // prefill time placed in about the last 200 ms, on an engine that decodes
 		Late    time.Duration `cbor:"5,keyasint"`           // expected prefill time still to be done for late requests, which yield to the others
 
-		// What the relay has measured of the server's speed just now.
-		Samples  uint64 `cbor:"6,keyasint,omitempty"` // number of samples so far; 0 if none is recent
-		LogRatio int    `cbor:"7,keyasint,omitempty"` // logarithm of the ratio of actual and expected times, in thousandths
+		Answering  SpeedSample `cbor:"6,keyasint,omitzero"` // time until responses to prompts begin
+		Generating SpeedSample `cbor:"7,keyasint,omitzero"` // time between the events of chats
 	}
 
 	// Ticket is a request's assignment to one server. End must be called once.
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -11,19 +11,35 @@
 
 const (
 	usualInterval    = 250 * time.Millisecond // between two computations of the usual speed of a kind
-	minKnownSpeeds   = 3                      // engines of a kind whose speeds must be known to compare them
+	minKnownSpeeds   = 2                      // engines of a kind whose speeds must be known to compare them
+	usualQuantile    = 0.3                    // of the engines of a kind, fastest first: work that has begun on slow ones makes these known
 	minUnevenShare   = 0.05                   // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
 	typicalGapWeight = 0.005                  // of a new sample in the typical gap
 	speedSampleShare = 0.5                    // weight of a new sample in what is told to other relays
 )
 
+// What is measured of an engine's speed. The two aren't comparable: an engine may be known
+// by one of them only.
+const (
+	answering  measure = iota // until a response to a prompt begins
+	generating                // between two events of a chat
+	measureCount
+)
+
 type (
-	// serverSpeed is what is known about the speed of a server, by the samples of all
-	// relays.
+	measure int
+
+	// SpeedSample is what one relay has measured of a server's speed just now.
+	SpeedSample struct {
+		Count    uint64 `cbor:"1,keyasint"` // of samples so far; 0 if none is recent
+		LogRatio int    `cbor:"2,keyasint"` // logarithm of the ratio of actual and expected times, in thousandths
+	}
+
+	// serverSpeed is one measure of the speed of a server, by the samples of all relays.
 	serverSpeed struct {
 		model    speed.Model
-		samples  uint64    // of this relay
+		count    uint64    // of this relay's samples
 		logRatio float64   // of this relay's samples, moving average
 		at       time.Time // of this relay's last sample
 	}
@@ -34,9 +50,15 @@
 		samples int
 	}
 
-	// usualSpeed is the speed of most engines of a kind.
+	// usualKey identifies a usualSpeed.
+	usualKey struct {
+		kind    engineKind
+		measure measure
+	}
+
+	// usualSpeed is the speed of most engines of a kind, by one measure.
 	usualSpeed struct {
-		median float64 // of speed.Model.Median
+		median float64 // speed.Model.Median of the engine at usualQuantile
 		known  int     // engines with a known speed
 		others int     // number of these that are faster or slower than usual
 		at     time.Time
@@ -44,58 +66,61 @@
 )
 
 // lasting returns by which factor a server is slower than its kind all along.
-func (t *Table) lasting(now time.Time, s *server) float64 {
-	usual := t.usual(now, engineKind{s.Service, s.Stage})
+func (t *Table) lasting(now time.Time, s *server, m measure) float64 {
+	usual := t.usual(now, usualKey{engineKind{s.Service, s.Stage}, m})
 	if usual.known < minKnownSpeeds {
 		return 1
 	}
-	return s.speed.model.Lasting(usual.median)
+	return s.speeds[m].model.Lasting(usual.median)
 }
 
-// slowness returns by which factor a server is slower just now than its kind.
+// slowness returns by which factor a server is slower just now to answer prompts than its
+// kind.
 func (t *Table) slowness(now time.Time, s *server) float64 {
-	return t.lasting(now, s) * s.speed.model.Passing(now)
+	return t.lasting(now, s, answering) * s.speeds[answering].model.Passing(now)
 }
 
 // uneven reports whether the engines of a service differ in speed all along.
 func (t *Table) uneven(now time.Time, service string) bool {
 	known, others := 0, 0
 	for _, stage := range []roster.Stage{roster.Colocated, roster.Prefill, roster.Decode} {
-		u := t.usual(now, engineKind{service, stage})
-		known += u.known
-		others += u.others
+		for m := range measureCount {
+			u := t.usual(now, usualKey{engineKind{service, stage}, m})
+			known += u.known
+			others += u.others
+		}
 	}
 	return float64(others) > minUnevenShare*float64(known)
 }
 
-// usual returns the usual speed of a kind.
-func (t *Table) usual(now time.Time, kind engineKind) usualSpeed {
-	u, known := t.usualSpeeds[kind]
+// usual returns the usual speed of a kind by one measure.
+func (t *Table) usual(now time.Time, key usualKey) usualSpeed {
+	u, known := t.usualSpeeds[key]
 	if known && now.Sub(u.at) < usualInterval {
 		return u
 	}
 	var medians []float64
-	for _, s := range t.byService[kind.service] {
-		if s.Stage == kind.stage && s.speed.model.Known() {
-			medians = append(medians, s.speed.model.Median)
+	for _, s := range t.byService[key.kind.service] {
+		if s.Stage == key.kind.stage && s.speeds[key.measure].model.Known() {
+			medians = append(medians, s.speeds[key.measure].model.Median)
 		}
 	}
 	slices.Sort(medians)
 	u = usualSpeed{known: len(medians), at: now}
-	if u.known > 0 {
-		u.median = medians[u.known/2]
-	}
-	for _, s := range t.byService[kind.service] {
-		if s.Stage == kind.stage && u.known >= minKnownSpeeds && s.speed.model.Lasting(u.median) != 1 {
-			u.others++
+	if u.known >= minKnownSpeeds {
+		u.median = medians[int(usualQuantile*float64(u.known))]
+		for _, s := range t.byService[key.kind.service] {
+			if s.Stage == key.kind.stage && s.speeds[key.measure].model.Lasting(u.median) != 1 {
+				u.others++
+			}
 		}
 	}
-	t.usualSpeeds[kind] = u
+	t.usualSpeeds[key] = u
 	return u
 }
 
 // EventGap records the time between two events of the response. Those of chats tell how
-// fast the server is; other responses have few.
+// fast the server generates; other responses have few.
 func (tk *Ticket) EventGap(now time.Time, gap time.Duration) {
 	if !tk.chat || gap <= 0 {
 		return
@@ -112,36 +137,36 @@
 	typical.samples++
 	typical.logGap += max(typicalGapWeight, 1/float64(typical.samples)) * (logGap - typical.logGap)
 	tk.table.gaps[kind] = typical
-	s.observeSpeed(now, time.Duration(math.Exp(typical.logGap)), gap)
+	s.speeds[generating].observe(now, time.Duration(math.Exp(typical.logGap)), gap)
 }
 
-// observeSpeed records how long a server has taken for work that takes usual on an engine
-// of its kind.
-func (s *server) observeSpeed(now time.Time, usual, took time.Duration) {
+// observe records how long a server has taken for work that takes usual on an engine of
+// its kind.
+func (s *serverSpeed) observe(now time.Time, usual, took time.Duration) {
 	if usual <= 0 || took <= 0 {
 		return
 	}
 	ratio := math.Log(float64(took) / float64(usual))
-	s.speed.model.Observe(now, ratio)
-	if now.Sub(s.speed.at) > speedSampleTTL {
-		s.speed.logRatio = ratio
+	s.model.Observe(now, ratio)
+	if now.Sub(s.at) > speedSampleTTL {
+		s.logRatio = ratio
 	}
-	s.speed.logRatio += speedSampleShare * (ratio - s.speed.logRatio)
-	s.speed.samples++
-	s.speed.at = now
+	s.logRatio += speedSampleShare * (ratio - s.logRatio)
+	s.count++
+	s.at = now
 }
 
-// tellSpeed adds this relay's recent samples of a server to its load.
-func (s *server) tellSpeed(now time.Time, l *Load) {
-	if s.speed.samples > 0 && now.Sub(s.speed.at) <= speedSampleTTL {
-		l.Samples = s.speed.samples
-		l.LogRatio = int(1000 * s.speed.logRatio)
+// recent returns this relay's recent samples for other relays.
+func (s *serverSpeed) recent(now time.Time) SpeedSample {
+	if s.count == 0 || now.Sub(s.at) > speedSampleTTL {
+		return SpeedSample{}
 	}
+	return SpeedSample{Count: s.count, LogRatio: int(1000 * s.logRatio)}
 }
 
-// heardSpeed records the samples of another relay, unless they were heard before.
-func (s *server) heardSpeed(now time.Time, before, l Load) {
-	if l.Samples != 0 && l.Samples != before.Samples {
-		s.speed.model.Observe(now, float64(l.LogRatio)/1000)
+// heard records the samples of another relay, unless they were heard before.
+func (s *serverSpeed) heard(now time.Time, before, sample SpeedSample) {
+	if sample.Count != 0 && sample.Count != before.Count {
+		s.model.Observe(now, float64(sample.LogRatio)/1000)
 	}
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -24,7 +24,7 @@
 		classes      map[string]*class        // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
-		usualSpeeds  map[engineKind]usualSpeed
+		usualSpeeds  map[usualKey]usualSpeed
 		gaps         map[engineKind]typicalGap
 		shares       *share.Table // of the engines' time, by team
 
@@ -51,7 +51,7 @@
 		pausedUntil     time.Time // the server gets no requests before this time
 		lastSeen        time.Time // time of its last response; at first, of its first request
 		cache           *prefixCache
-		speed           serverSpeed
+		speeds          [measureCount]serverSpeed
 	}
 )
 
@@ -66,7 +66,7 @@
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
-		usualSpeeds:  map[engineKind]usualSpeed{},
+		usualSpeeds:  map[usualKey]usualSpeed{},
 		gaps:         map[engineKind]typicalGap{},
 		shares:       share.New(equalWeights{}),
 	}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -125,7 +125,7 @@
 		return // others may have overtaken it
 	}
 	slowness := tk.table.slowness(now, s)
-	s.observeSpeed(now, tk.usualTime, firstByte)
+	s.speeds[answering].observe(now, tk.usualTime, firstByte)
 	usual := time.Duration(float64(firstByte) / slowness) // on an engine that is as fast as usual
 	if tk.handoff {
 		tk.table.handoffPace(s).Observe(tk.transferTime, usual)
