--- a/placement/table.go
+++ b/placement/table.go
@@ -27,6 +27,7 @@
 		usualSpeeds  map[usualKey]usualSpeed
 		gaps         map[engineKind]typicalGap
 		shares       *share.Table // of the engines' time, by team
+		advances     map[string]*advanceAccount // by service
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -69,6 +70,7 @@
 		usualSpeeds:  map[usualKey]usualSpeed{},
 		gaps:         map[engineKind]typicalGap{},
 		shares:       share.New(equalWeights{}),
+		advances:     map[string]*advanceAccount{},
 	}
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -50,6 +50,9 @@
 	if j.choice.Late {
 		fields["late"] = true
 	}
+	if j.choice.Advanced {
+		fields["advanced"] = true
+	}
 	if j.clientRetry {
 		fields["back"] = true
 		fields["waited"] = j.waited.Milliseconds()
