--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -38,7 +38,7 @@
 	deviationHalfLife = 120 * time.Millisecond // without samples
 	deviationWeight   = 0.35                   // of one sample
 
-	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster
+	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster than the median
 
 	// Dead bands. Below minLasting times the usual duration an engine counts as usual, and
 	// below minPassing times its own it counts as in no stretch.
@@ -56,10 +56,13 @@
 }
 
 // Observe adds the mean of samples taken just before now: the logarithm of the ratio of
-// the actual and the expected duration of a piece of work, where the expected one is that
-// of an engine of this kind.
+// the actual and the expected duration of a piece of work. What is expected must be the
+// same for all engines that are compared, but needn't be right.
 func (m *Model) Observe(now time.Time, logRatio float64) {
-	logRatio = min(max(logRatio, -maxLogRatio), maxLogRatio)
+	if m.Learned == 0 {
+		m.Median, m.At = logRatio, now
+	}
+	logRatio = min(max(logRatio, m.Median-maxLogRatio), m.Median+maxLogRatio)
 	covered := min(max(now.Sub(m.At), time.Millisecond), maxSampleTime)
 	rate := max(learningRate*(1-m.Learned.Seconds()/learningTime.Seconds()), medianRate)
 	m.Deviation = m.currentDeviation(now)
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -15,7 +15,7 @@
 	usualQuantile    = 0.3                    // of the engines of a kind, fastest first: work that has begun on slow ones makes these known
 	minUnevenShare   = 0.05                   // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
-	typicalGapWeight = 0.005                  // of a new sample in the typical gap
+	nominalGap       = 50 * time.Millisecond  // between two events of a chat
 	speedSampleShare = 0.5                    // weight of a new sample in what is told to other relays
 )
 
@@ -44,12 +44,6 @@
 		at       time.Time // of this relay's last sample
 	}
 
-	// typicalGap is the time between two events of a chat on engines of a kind.
-	typicalGap struct {
-		logGap  float64 // logarithm of nanoseconds, moving average
-		samples int
-	}
-
 	// usualKey identifies a usualSpeed.
 	usualKey struct {
 		kind    engineKind
@@ -131,13 +125,7 @@
 	if s == nil {
 		return
 	}
-	kind := engineKind{s.Service, s.Stage}
-	typical := tk.table.gaps[kind]
-	logGap := math.Log(float64(gap))
-	typical.samples++
-	typical.logGap += max(typicalGapWeight, 1/float64(typical.samples)) * (logGap - typical.logGap)
-	tk.table.gaps[kind] = typical
-	s.speeds[generating].observe(now, time.Duration(math.Exp(typical.logGap)), gap)
+	s.speeds[generating].observe(now, nominalGap, gap)
 }
 
 // observe records how long a server has taken for work that takes usual on an engine of
--- a/placement/table.go
+++ b/placement/table.go
@@ -25,8 +25,7 @@
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[usualKey]usualSpeed
-		gaps         map[engineKind]typicalGap
-		shares       *share.Table // of the engines' time, by team
+		shares       *share.Table               // of the engines' time, by team
 		advances     map[string]*advanceAccount // by service
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
@@ -68,7 +67,6 @@
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
 		usualSpeeds:  map[usualKey]usualSpeed{},
-		gaps:         map[engineKind]typicalGap{},
 		shares:       share.New(equalWeights{}),
 		advances:     map[string]*advanceAccount{},
 	}
