--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -42,7 +42,7 @@
 
 	// Dead bands. Below minLasting times the usual duration an engine counts as usual, and
 	// below minPassing times its own it counts as in no stretch.
-	minLasting = 1.4
+	minLasting = 1.6
 	minPassing = 1.5
 )
 
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -22,8 +22,9 @@
 	transferSetupTime = 500 * time.Microsecond // before a KV cache transfer begins
 	crossDomainTime   = time.Millisecond       // additional latency between failure domains
 
-	maxDecodeQueue   = 5 * time.Millisecond  // longest wait for the prompt being prefilled; a request to decode goes before queued prompts
-	lateResidualTime = 12 * time.Millisecond // average time left of a late prompt being prefilled, which isn't preempted
+	maxDecodeQueue       = 5 * time.Millisecond  // longest wait for the prompt being prefilled; a request to decode goes before queued prompts
+	maxUnevenDecodeQueue = 40 * time.Millisecond // the same where engines are uneven; queued prompts delay the events after the first
+	lateResidualTime     = 12 * time.Millisecond // average time left of a late prompt being prefilled, which isn't preempted
 
 	maxWaitFraction  = 0.6  // fraction of the latency objective that a request may wait; the rest is for its own prefill and the network
 	ownPrefillWeight = 0.25 // fraction of the request's own prefill time that counts as waiting
@@ -362,7 +363,11 @@
 // queued there, but waits for the one being prefilled.
 func (ps *promptSearch) decodeCost(s *server) time.Duration {
 	load := ps.table.loadOf(ps.now, s)
-	queueTime := min(s.queueTime(ps.now, load, false), maxDecodeQueue)
+	maxQueue := maxDecodeQueue
+	if ps.table.uneven(ps.now, ps.req.Service) {
+		maxQueue = maxUnevenDecodeQueue
+	}
+	queueTime := min(s.queueTime(ps.now, load, false), maxQueue)
 	slower := ps.table.slowness(ps.now, s) - 1
 	slowCost := time.Duration(slower * float64(ps.table.handoffPace(s).Estimate(0)))
 	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + slowCost + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -13,7 +13,7 @@
 	usualInterval    = 250 * time.Millisecond // between two computations of the usual speed of a kind
 	minKnownSpeeds   = 2                      // engines of a kind whose speeds must be known to compare them
 	usualQuantile    = 0.3                    // of the engines of a kind, fastest first: work that has begun on slow ones makes these known
-	minUnevenShare   = 0.05                   // of a service's engines; fewer may be ill
+	minUnevenShare   = 0.1                    // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
 	nominalGap       = 50 * time.Millisecond  // between two events of a chat
 	speedSampleShare = 0.5                    // weight of a new sample in what is told to other relays
