--- a/placement/placement.go
+++ b/placement/placement.go
@@ -52,7 +52,6 @@
 		Runner       *Ticket
 		PrefixSource string        // address of a server to fetch the KV cache of shared prefixes from; empty for none
 		Late         bool          // the request yields to those that can still meet their objectives
-		Advanced     bool          // the request will miss its objective, but doesn't yield
 		QueueTime    time.Duration // expected time until processing begins
 		FirstByte    time.Duration // expected time to the first byte of the response
 		Slack        time.Duration // time that the request can wait in queues without missing its latency objective
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -40,11 +40,6 @@
 	// stretch it takes a multiple.
 	maxPrefillBesideChats = 40 * time.Millisecond
 
-	// maxAdvancedShare limits the prefill time of late requests that go before their turn,
-	// relative to that of requests that can meet their objectives.
-	maxAdvancedShare = 0.15
-	advanceHalfLife  = time.Second
-
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -67,13 +62,6 @@
 		sparesChats  bool    // little is prefilled on engines that decode chats
 	}
 
-	// advanceAccount is the prefill time that this relay has placed lately for a service.
-	advanceAccount struct {
-		regular  float64 // seconds, of requests that were expected to meet their objectives
-		advanced float64 // seconds, of late ones that went before their turn
-		at       time.Time
-	}
-
 	// plan is the expected course of a request if server prefills its prompt.
 	plan struct {
 		server         *server
@@ -110,7 +98,6 @@
 			if err == nil && req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
 				class.recordServed(req, 1)
 				t.recordGiven(now, req, work)
-				t.countRegular(now, req.Service, p.prefillTime)
 				return ps.commit(p), nil
 			}
 			ps.sparesChats = false
@@ -122,13 +109,9 @@
 		if req.MustPlace || req.meetsObjective(p.queueTime, p.firstByte, t.allowedWait(now, req, work, p, waitFactor)) {
 			class.recordServed(req, 1)
 			t.recordGiven(now, req, work)
-			t.countRegular(now, req.Service, p.prefillTime)
 			return ps.commit(p), nil
 		}
 	}
-	if c, ok := ps.advance(class); ok {
-		return c, nil
-	}
 	p, err := ps.bestPlan(true)
 	if err != nil {
 		return Choice{}, err
@@ -143,58 +126,6 @@
 	return ps.commit(p), nil
 }
 
-// advance places a late request among those that can still meet their objectives, if a
-// limited share of the engines' time for these allows that and the response would be
-// useful. It does so where engines are uneven: behind the others, a late request on an
-// engine in a slow stretch waits until its caller gives up.
-func (ps *promptSearch) advance(c *class) (Choice, bool) {
-	t := ps.table
-	if !t.uneven(ps.now, ps.req.Service) {
-		return Choice{}, false
-	}
-	account := t.advances[ps.req.Service]
-	if account == nil {
-		account = &advanceAccount{}
-		t.advances[ps.req.Service] = account
-	}
-	if !account.allows(ps.now) {
-		return Choice{}, false
-	}
-	ps.sparesChats = true
-	defer func() { ps.sparesChats = false }()
-	p, err := ps.bestPlan(false)
-	if err != nil || !ps.req.usefulWhenLate(p.firstByte) {
-		return Choice{}, false
-	}
-	account.advanced += p.prefillTime.Seconds()
-	c.recordServed(ps.req, lateServedCredit)
-	choice := ps.commit(p)
-	choice.Advanced = true
-	return choice, true
-}
-
-// allows reports whether a late request may be advanced now.
-func (a *advanceAccount) allows(now time.Time) bool {
-	a.decayTo(now)
-	return a.advanced < maxAdvancedShare*a.regular
-}
-
-// decayTo lets old work count less.
-func (a *advanceAccount) decayTo(now time.Time) {
-	age := now.Sub(a.at)
-	a.regular = decay(a.regular, age, advanceHalfLife)
-	a.advanced = decay(a.advanced, age, advanceHalfLife)
-	a.at = now
-}
-
-// countRegular counts a request that is expected to meet its objective.
-func (t *Table) countRegular(now time.Time, service string, prefill time.Duration) {
-	if a := t.advances[service]; a != nil {
-		a.decayTo(now)
-		a.regular += prefill.Seconds()
-	}
-}
-
 // ChooseDecoder assigns a request whose prefill has run on prefiller to an engine that
 // decodes. It returns a fault.Unavailable error if there is none.
 func (t *Table) ChooseDecoder(now time.Time, req Request, prefiller roster.Server) (*Ticket, error) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -25,8 +25,7 @@
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[usualKey]usualSpeed
-		shares       *share.Table               // of the engines' time, by team
-		advances     map[string]*advanceAccount // by service
+		shares       *share.Table // of the engines' time, by team
 
 		inserts        []CacheInsert // cache insertions that this relay has caused, oldest first
 		droppedInserts uint64        // number of insertions removed from the front; sequence number of inserts[0]
@@ -68,7 +67,6 @@
 		handoffPaces: map[engineKind]*pace.Model{},
 		usualSpeeds:  map[usualKey]usualSpeed{},
 		shares:       share.New(equalWeights{}),
-		advances:     map[string]*advanceAccount{},
 	}
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -279,8 +279,6 @@
 		return priorityPrefilled
 	case choice.Late:
 		return priorityLate
-	case choice.Advanced:
-		return priorityDefault
 	case choice.Slack < time.Duration(tightSlack*float64(j.route.LatencyObjective)):
 		return priorityTight
 	case choice.Slack > time.Duration(looseSlack*float64(j.route.LatencyObjective)):
--- a/relay/log.go
+++ b/relay/log.go
@@ -50,9 +50,6 @@
 	if j.choice.Late {
 		fields["late"] = true
 	}
-	if j.choice.Advanced {
-		fields["advanced"] = true
-	}
 	if j.clientRetry {
 		fields["back"] = true
 		fields["waited"] = j.waited.Milliseconds()
