Bound prefills beside streams by the route's pause where engines are uneven

One mechanism in place of two: the bound that holds where teams share the engines replaces the 40 ms beside chats. Engines without chats are judged by their answers to prompts.

--- a/placement/chat.go
+++ b/placement/chat.go
@@ -50,7 +50,7 @@
 		if queue > maxChatQueue {
 			fill++ // ranks behind all engines with a short queue
 		}
-		if t.lasting(now, s, generating) > 1 {
+		if t.generatesSlowly(now, s) {
 			fill += slowFill
 		}
 		weight := s.rendezvousWeight(chatRendezvousKey)
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -41,7 +41,7 @@
 // the streams that run there for longer than the request's route allows. An engine that
 // prefills without a break takes several times as long for an event.
 func (t *Table) breaksPauses(now time.Time, s *server, req Request, prefill time.Duration, chats int) bool {
-	if req.Team == "" || req.MustPlace || req.PauseObjective <= 0 || s.Stage == roster.Prefill {
+	if req.Team == "" && !t.uneven(now, req.Service) || req.MustPlace || req.PauseObjective <= 0 || s.Stage == roster.Prefill {
 		return false
 	}
 	recent := s.recent.now(now)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -35,11 +35,6 @@
 	// their tokens.
 	interferenceWeight = 0.07
 
-	// maxPrefillBesideChats is the prefill time that may be pending on an engine that
-	// decodes chats, where engines are uneven: the chats' tokens wait for it, and in a slow
-	// stretch it takes a multiple.
-	maxPrefillBesideChats = 40 * time.Millisecond
-
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -59,7 +54,6 @@
 		prefixes     []uint64
 		candidates   []*server
 		prefixSource *server // has the longest cached prefix; nil if no server has any
-		sparesChats  bool    // little is prefilled on engines that decode chats
 	}
 
 	// plan is the expected course of a request if server prefills its prompt.
@@ -92,16 +86,6 @@
 	class, work := t.class(req), ps.uncachedPrefillTime()
 	if req.ObjectiveLeft > 0 || req.MustPlace {
 		waitFactor := class.waitFactor(req, work)
-		if t.uneven(now, req.Service) {
-			ps.sparesChats = true
-			p, err := ps.bestPlan(false)
-			if err == nil && req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
-				class.recordServed(req, 1)
-				t.recordGiven(now, req, work)
-				return ps.commit(p), nil
-			}
-			ps.sparesChats = false
-		}
 		p, err := ps.bestPlan(false)
 		if err != nil {
 			return Choice{}, err
@@ -201,7 +185,7 @@
 			}
 			continue
 		}
-		if p.chats > 0 && (late || ps.sparesChats && p.queueTime+p.prefillTime > maxPrefillBesideChats) {
+		if p.chats > 0 && late {
 			continue
 		}
 		if (single.server == nil || p.cost < single.cost) && !ps.table.breaksPauses(ps.now, s, ps.req, p.prefillTime, p.chats) {
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -68,6 +68,15 @@
 	return s.speeds[m].model.Lasting(usual.median)
 }
 
+// generatesSlowly reports whether a server takes longer for the events of chats all along
+// than its kind. Of a server without chats that is told by its answers to prompts.
+func (t *Table) generatesSlowly(now time.Time, s *server) bool {
+	if s.speeds[generating].model.Known() {
+		return t.lasting(now, s, generating) > 1
+	}
+	return t.lasting(now, s, answering) > 1
+}
+
 // slowness returns by which factor a server is slower just now to answer prompts than its
 // kind.
 func (t *Table) slowness(now time.Time, s *server) float64 {
