--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"endivedeck.example/internal/engines/speed"
@@ -36,6 +37,13 @@
 		LogRatio int    `cbor:"2,keyasint"` // logarithm of the ratio of actual and expected times, in thousandths
 	}
 
+	// ServerSpeed tells by which factors a server is slower than usual all along; 1 is usual.
+	ServerSpeed struct {
+		ID         string
+		Answering  float64 // until responses to prompts begin
+		Generating float64 // between two events of a chat
+	}
+
 	// serverSpeed is one measure of the speed of a server, by the samples of all relays.
 	serverSpeed struct {
 		model    speed.Model
@@ -96,6 +104,21 @@
 	return float64(others) > minUnevenShare*float64(known)
 }
 
+// UnusualSpeeds returns the servers that are faster or slower than usual, by ID.
+func (t *Table) UnusualSpeeds(now time.Time) []ServerSpeed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []ServerSpeed
+	for _, s := range t.servers {
+		speed := ServerSpeed{ID: s.ID, Answering: t.lasting(now, s, answering), Generating: t.lasting(now, s, generating)}
+		if speed.Answering != 1 || speed.Generating != 1 {
+			list = append(list, speed)
+		}
+	}
+	slices.SortFunc(list, func(a, b ServerSpeed) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
 // usual returns the usual speed of a kind by one measure.
 func (t *Table) usual(now time.Time, key usualKey) usualSpeed {
 	u, known := t.usualSpeeds[key]
--- a/relay/link.go
+++ b/relay/link.go
@@ -42,13 +42,21 @@
 // none on a link that is idle, and a multiple of the time on the link where it is nearly
 // full.
 func (m *linkMeter) sendCost(now time.Time, bytes int) time.Duration {
+	if m.rate == 0 {
+		return 0
+	}
+	use := min(m.use(now), maxLinkUse)
+	return time.Duration(float64(bytes) / m.rate * use / (1 - use) * float64(time.Second))
+}
+
+// use returns the part of the link that is used, or 0 if its rate is unknown.
+func (m *linkMeter) use(now time.Time) float64 {
 	if m.rate == 0 {
 		return 0
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	use := min(m.decayed(now)/m.rate, maxLinkUse)
-	return time.Duration(float64(bytes) / m.rate * use / (1 - use) * float64(time.Second))
+	return m.decayed(now) / m.rate
 }
 
 func (m *linkMeter) decayed(now time.Time) float64 {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,6 +23,8 @@
 	set.NewGauge("relay_connections_opened_total", func() float64 { return float64(r.upstream.DialCount()) })
 	set.NewGauge("relay_quarantined_parts", func() float64 { return float64(r.quarantine.Count(quarantine.Quarantined)) })
 	set.NewGauge("relay_buffered_bytes", func() float64 { return float64(r.buffers.held.Load()) })
+	set.NewGauge("relay_unusual_servers", func() float64 { return float64(len(r.placement.UnusualSpeeds(time.Now()))) })
+	set.NewGauge("relay_link_use", func() float64 { return r.link.use(time.Now()) })
 	return &relayMetrics{set: set}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -97,6 +97,7 @@
 		usage         *usageReporter // nil if usage isn't counted
 		buffers       bufferLimit
 		link          *linkMeter
+		speeds        speedLog
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
@@ -171,6 +172,7 @@
 		returns:       newReturnCalendar(),
 		quarantine:    quarantine.New(),
 		link:          newLinkMeter(settings.LinkRate),
+		speeds:        speedLog{logged: map[string]placement.ServerSpeed{}},
 		retryBudget: budget.New(budget.Limit{
 			Ratio:  settings.RetryRatio,
 			Slack:  settings.RetrySlack,
@@ -291,6 +293,7 @@
 	r.upstream.CloseExpired(now)
 	r.quarantine.Expire(now)
 	r.logTransitions()
+	r.logSpeeds(now)
 }
 
 // Ready reports whether the relay has received routes and is not stopping.
