--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -26,20 +26,23 @@
 	// stretch of 600 ms moves it by 15%, and the time after it moves it back.
 	medianRate = 0.25
 
-	// learningRate is the same during an engine's first learningTime of samples.
+	// learningRate is the same at an engine's first sample. It falls to medianRate within
+	// learningTime of samples. After knownTime of samples the engine is compared with
+	// others.
 	learningRate = 3.0
-	learningTime = 700 * time.Millisecond
+	learningTime = 3 * time.Second
+	knownTime    = 700 * time.Millisecond
 
 	maxSampleTime = 100 * time.Millisecond // time that one sample stands for at most
 
 	deviationHalfLife = 120 * time.Millisecond // without samples
 	deviationWeight   = 0.35                   // of one sample
 
-	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster
+	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster than the median
 
 	// Dead bands. Below minLasting times the usual duration an engine counts as usual, and
 	// below minPassing times its own it counts as in no stretch.
-	minLasting = 1.4
+	minLasting = 1.6
 	minPassing = 1.5
 )
 
@@ -53,15 +56,15 @@
 }
 
 // Observe adds the mean of samples taken just before now: the logarithm of the ratio of
-// the actual and the expected duration of a piece of work, where the expected one is that
-// of an engine of this kind.
+// the actual and the expected duration of a piece of work. What is expected must be the
+// same for all engines that are compared, but needn't be right.
 func (m *Model) Observe(now time.Time, logRatio float64) {
-	logRatio = min(max(logRatio, -maxLogRatio), maxLogRatio)
-	covered := min(max(now.Sub(m.At), time.Millisecond), maxSampleTime)
-	rate := medianRate
-	if !m.Known() {
-		rate = learningRate
+	if m.Learned == 0 {
+		m.Median, m.At = logRatio, now
 	}
+	logRatio = min(max(logRatio, m.Median-maxLogRatio), m.Median+maxLogRatio)
+	covered := min(max(now.Sub(m.At), time.Millisecond), maxSampleTime)
+	rate := max(learningRate*(1-m.Learned.Seconds()/learningTime.Seconds()), medianRate)
 	m.Deviation = m.currentDeviation(now)
 	m.Deviation += deviationWeight * (logRatio - m.Median - m.Deviation)
 	step := rate * covered.Seconds()
@@ -71,7 +74,7 @@
 }
 
 // Known reports whether there were enough samples to say how fast the engine is.
-func (m *Model) Known() bool { return m.Learned >= learningTime }
+func (m *Model) Known() bool { return m.Learned >= knownTime }
 
 // Lasting returns by which factor the engine is slower than usual all along. usual is the
 // median of Median over the engines of its kind. It is 1 within the dead band.
--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -70,7 +70,7 @@
 // the streams that run there for longer than the request's route allows. An engine that
 // prefills without a break takes several times as long for an event.
 func (t *Table) breaksPauses(now time.Time, s *server, req Request, prefill time.Duration, chats int) bool {
-	if req.Team == "" || req.MustPlace || req.PauseObjective <= 0 || s.Stage == roster.Prefill {
+	if req.Team == "" && !t.uneven(now, req.Service) || req.MustPlace || req.PauseObjective <= 0 || s.Stage == roster.Prefill {
 		return false
 	}
 	recent := t.recentOn(now, s)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -22,8 +22,9 @@
 	transferSetupTime = 500 * time.Microsecond // before a KV cache transfer begins
 	crossDomainTime   = time.Millisecond       // additional latency between failure domains
 
-	maxDecodeQueue   = 5 * time.Millisecond  // longest wait for the prompt being prefilled; a request to decode goes before queued prompts
-	lateResidualTime = 12 * time.Millisecond // average time left of a late prompt being prefilled, which isn't preempted
+	maxDecodeQueue       = 5 * time.Millisecond  // longest wait for the prompt being prefilled; a request to decode goes before queued prompts
+	maxUnevenDecodeQueue = 40 * time.Millisecond // the same where engines are uneven; queued prompts delay the events after the first
+	lateResidualTime     = 12 * time.Millisecond // average time left of a late prompt being prefilled, which isn't preempted
 
 	maxWaitFraction  = 0.6  // fraction of the latency objective that a request may wait; the rest is for its own prefill and the network
 	ownPrefillWeight = 0.25 // fraction of the request's own prefill time that counts as waiting
@@ -34,11 +35,6 @@
 	// their tokens.
 	interferenceWeight = 0.07
 
-	// maxPrefillBesideChats is the prefill time that may be pending on an engine that
-	// decodes chats, where engines are uneven: the chats' tokens wait for it, and in a slow
-	// stretch it takes a multiple.
-	maxPrefillBesideChats = 40 * time.Millisecond
-
 	// Probabilities that a prefix expected in a cache isn't there.
 	localMissRate  = 0.05 // in the server's own cache
 	remoteMissRate = 0.15 // in another server's cache, when the transfer begins
@@ -58,7 +54,6 @@
 		prefixes     []uint64
 		candidates   []*server
 		prefixSource *server // has the longest cached prefix; nil if no server has any
-		sparesChats  bool    // little is prefilled on engines that decode chats
 	}
 
 	// plan is the expected course of a request if server prefills its prompt.
@@ -91,16 +86,6 @@
 	class, work := t.class(req), ps.uncachedPrefillTime()
 	if req.ObjectiveLeft > 0 || req.MustPlace {
 		waitFactor := class.waitFactor(req, work)
-		if t.uneven(now, req.Service) {
-			ps.sparesChats = true
-			p, err := ps.bestPlan(false)
-			if err == nil && req.meetsObjective(p.queueTime, p.firstByte, waitFactor) {
-				class.recordServed(req, 1)
-				t.recordGiven(now, req, work)
-				return ps.commit(p), nil
-			}
-			ps.sparesChats = false
-		}
 		p, err := ps.bestPlan(false)
 		if err != nil {
 			return Choice{}, err
@@ -200,7 +185,7 @@
 			}
 			continue
 		}
-		if p.chats > 0 && (late || ps.sparesChats && p.queueTime+p.prefillTime > maxPrefillBesideChats) {
+		if p.chats > 0 && late {
 			continue
 		}
 		if (single.server == nil || p.cost < single.cost) && !ps.table.breaksPauses(ps.now, s, ps.req, p.prefillTime, p.chats) {
@@ -296,7 +281,11 @@
 // queued there, but waits for the one being prefilled.
 func (ps *promptSearch) decodeCost(s *server) time.Duration {
 	load := ps.table.loadOf(ps.now, s)
-	queueTime := min(s.queueTime(ps.now, load, false), maxDecodeQueue)
+	maxQueue := maxDecodeQueue
+	if ps.table.uneven(ps.now, ps.req.Service) {
+		maxQueue = maxUnevenDecodeQueue
+	}
+	queueTime := min(s.queueTime(ps.now, load, false), maxQueue)
 	slower := ps.table.slowness(ps.now, s) - 1
 	slowCost := time.Duration(slower * float64(ps.table.handoffPace(s).Estimate(0)))
 	return queueTime + decodeStepTime*time.Duration(1+load.active/4) + slowCost + evictionCost(ps.uncachedTokens(s)) + s.crossDomainCost(ps.req)
--- a/placement/table.go
+++ b/placement/table.go
@@ -25,8 +25,7 @@
 		classes      map[string]*class        // by name
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
-		usualSpeeds  map[engineKind]usualSpeed
-		gaps         map[engineKind]typicalGap
+		usualSpeeds  map[usualKey]usualSpeed
 		shares       *share.Table           // of the engines' time, by team
 		pacer        Pacer                  // nil if servers aren't paced
 		peerRatios   map[engineKind]float64 // estimate of peerQuantile of the ratios of measured to expected times, with a pacer
@@ -57,7 +56,7 @@
 		pausedUntil     time.Time // the server gets no requests before this time
 		lastSeen        time.Time // time of its last response; at first, of its first request
 		cache           *prefixCache
-		speed           serverSpeed
+		speeds          [measureCount]serverSpeed
 	}
 )
 
@@ -72,8 +71,7 @@
 		classes:      map[string]*class{},
 		prefillPaces: map[engineKind]*pace.Model{},
 		handoffPaces: map[engineKind]*pace.Model{},
-		usualSpeeds:  map[engineKind]usualSpeed{},
-		gaps:         map[engineKind]typicalGap{},
+		usualSpeeds:  map[usualKey]usualSpeed{},
 		shares:       share.New(equalWeights{}),
 		peerRatios:   map[engineKind]float64{},
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -27,6 +27,8 @@
 	if r.ramps != nil {
 		set.NewGauge("relay_paced_servers", func() float64 { return float64(len(r.ramps.Paced())) })
 	}
+	set.NewGauge("relay_unusual_servers", func() float64 { return float64(len(r.placement.UnusualSpeeds(time.Now()))) })
+	set.NewGauge("relay_link_use", func() float64 { return r.link.use(time.Now()) })
 	return &relayMetrics{set: set}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -104,6 +104,7 @@
 		soon          *rate.Limiter  // of asking another server soon, see stall.go
 		buffers       bufferLimit
 		link          *linkMeter
+		speeds        speedLog
 		upstream      *upstream.Pool
 		metrics       *relayMetrics
 		callerServer  *gate.Server
@@ -181,6 +182,7 @@
 		soon:          rate.NewLimiter(soonPerSecond, soonBurst),
 		quarantine:    quarantine.New(),
 		link:          newLinkMeter(settings.LinkRate),
+		speeds:        speedLog{logged: map[string]placement.ServerSpeed{}},
 		retryBudget: budget.New(budget.Limit{
 			Ratio:  settings.RetryRatio,
 			Slack:  settings.RetrySlack,
@@ -324,6 +326,7 @@
 	r.quarantine.Expire(now)
 	r.logTransitions()
 	r.logRamps()
+	r.logSpeeds(now)
 }
 
 // Ready reports whether the relay has received routes and is not stopping.
