--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -13,7 +13,6 @@
 const (
 	usualInterval    = 250 * time.Millisecond // between two computations of the usual speed of a kind
 	minKnownSpeeds   = 2                      // engines of a kind whose speeds must be known to compare them
-	usualQuantile    = 0.3                    // of the engines of a kind, fastest first: work that has begun on slow ones makes these known
 	minUnevenShare   = 0.1                    // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
 	nominalGap       = 50 * time.Millisecond  // between two events of a chat
@@ -28,6 +27,11 @@
 	measureCount
 )
 
+// usualQuantiles has for each measure the quantile of the engines of a kind, fastest first,
+// that counts as usual. Engines become known by generating only when they get chats, which
+// may be mostly slow ones at first.
+var usualQuantiles = [measureCount]float64{answering: 0.3, generating: 0.1}
+
 type (
 	measure int
 
@@ -60,7 +64,7 @@
 
 	// usualSpeed is the speed of most engines of a kind, by one measure.
 	usualSpeed struct {
-		median float64 // speed.Model.Median of the engine at usualQuantile
+		median float64 // speed.Model.Median of the engine at the quantile of usualQuantiles
 		known  int     // engines with a known speed
 		others int     // number of these that are faster or slower than usual
 		at     time.Time
@@ -134,7 +138,7 @@
 	slices.Sort(medians)
 	u = usualSpeed{known: len(medians), at: now}
 	if u.known >= minKnownSpeeds {
-		u.median = medians[int(usualQuantile*float64(u.known))]
+		u.median = medians[int(usualQuantiles[key.measure]*float64(u.known))]
 		for _, s := range t.byService[key.kind.service] {
 			if s.Stage == key.kind.stage && s.speeds[key.measure].model.Lasting(u.median) != 1 {
 				u.others++
