--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -304,3 +304,36 @@
 		}
 	}
 }
+
+// TestAskSoon has streams stall whose events have to come in time. Another server is asked
+// soon only if theirs has sent nothing to any request, and only for a few of them at a time.
+func TestAskSoon(t *testing.T) {
+	stalled := func(j *job) *stallTimer {
+		j.team, j.serverID, j.route.PauseObjective = &routes.Team{Name: "a"}, "a", time.Minute
+		return newStallTimer(j, 1, streamStallTimeout-time.Millisecond, func() {})
+	}
+	j := newRetryingJob(t, budget.Limit{Slack: 100, Window: time.Hour})
+	choice, err := j.relay.placement.Choose(time.Now(), placement.Request{Service: "s", Excluded: map[string]bool{"b": true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	choice.Runner.Progress(time.Now())
+	slow := stalled(j)
+	slow.fire()
+	slow.stop(false)
+	if got := j.sends; got != 1 {
+		t.Errorf("sends for a stream of a server that sends to others: got %d, want 1", got)
+	}
+	j = newRetryingJob(t, budget.Limit{Slack: 100, Window: time.Hour})
+	asked := 0
+	for range 4 * soonBurst {
+		k := *j
+		timer := stalled(&k)
+		timer.fire()
+		timer.stop(false)
+		asked += k.sends - j.sends
+	}
+	if got, want := asked, soonBurst; got < want || got >= 4*want { // a few more on a machine that stops for seconds
+		t.Errorf("servers asked for %d streams that stall at a time: got %d, want %d", 4*want, got, want)
+	}
+}
