--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -10,7 +10,7 @@
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
 	maxPrefillPart = 0.8
-	pressedPart    = 1.0 // the same while there is too little room: late events of a few are better than refusing more
+	pressedPart    = 1.2 // the same while there is too little room: late events of a few are better than refusing more
 	chatsPart      = 0.4 // the same beside chats, whose many events all have to come in time
 
 	fewChats        = 3                      // an engine with more of them is kept for them also while there is too little room
