--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -10,7 +10,6 @@
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
 	maxPrefillPart = 0.8
-	pressedPart    = 1.2 // the same while there is too little room: late events of a few are better than refusing more
 	chatsPart      = 0.4 // the same beside chats, whose many events all have to come in time
 
 	fewChats        = 3                      // an engine with more of them is kept for them also while there is too little room
@@ -75,13 +74,12 @@
 	}
 	recent := t.recentOn(now, s)
 	pressed := t.pressed(now, req)
-	if chats > fewChats || chats > 0 && !pressed {
+	switch {
+	case chats > fewChats, chats > 0 && !pressed:
 		return recent+prefill > time.Duration(chatsPart*float64(req.PauseObjective))
+	case pressed: // a few late events are better than refusing more
+		return false
 	}
-	part := maxPrefillPart
-	if pressed {
-		part = pressedPart
-	}
-	budget := time.Duration(part * float64(req.PauseObjective))
+	budget := time.Duration(maxPrefillPart * float64(req.PauseObjective))
 	return recent > 0 && recent+min(prefill, budget*3/4) > budget
 }
