--- a/control/usage.go
+++ b/control/usage.go
@@ -122,6 +122,8 @@
 	switch {
 	case !ok || !outcome.Closed:
 		log.Info("usage window was closed before")
+	case verdict.Partial:
+		log.Warn("usage window closed by an instance that started within it")
 	case len(verdict.Missing) > 0:
 		log.Warn("usage window closed without all counts of some relays")
 	default:
--- a/internal/usage/ledger/collector.go
+++ b/internal/usage/ledger/collector.go
@@ -35,6 +35,7 @@
 	Verdict struct {
 		Closable bool
 		Missing  []string // relays whose counts may be incomplete, sorted
+		Partial  bool     // the collector began within the window, so relays may have ended that it doesn't know
 	}
 )
 
@@ -94,7 +95,8 @@
 	}
 	slices.Sort(v.Missing)
 	settled := c.schedule.Complete(at) > number
-	knowsAll := heard > 0 && len(v.Missing) == 0 && !c.start.After(start)
+	v.Partial = c.start.After(start)
+	knowsAll := heard > 0 && len(v.Missing) == 0 && !v.Partial
 	due := later(c.schedule.Due(number), c.start.Add(c.schedule.Reconnect()))
 	v.Closable = settled && knowsAll || !at.Before(due)
 	return v
