--- a/chat/chat.go
+++ b/chat/chat.go
@@ -104,6 +104,7 @@
 		entry.WriteError(w, err)
 		return
 	}
+	gate.Join(r.Context(), caller.Accepted.Contract.Customer)
 	request, err := parseRequest(r, isChat)
 	if err != nil {
 		entry.WriteError(w, err)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -302,6 +302,13 @@
 	return c == nil || c.hold(n)
 }
 
+// Join notes the team of the caller of a request, whose part of the memory is limited.
+func Join(ctx context.Context, team string) {
+	if c, _ := ctx.Value(connKey{}).(*conn); c != nil {
+		c.account.Join(team)
+	}
+}
+
 // ReadBody reads a request's body. It returns fault.TooLarge if the body exceeds the
 // limit, fault.Overloaded if the process has no room for it, and fault.Malformed if it
 // is incomplete. Trailers are dropped.
--- a/internal/callers/allowance/allowance.go
+++ b/internal/callers/allowance/allowance.go
@@ -40,6 +40,7 @@
 const (
 	Memory  Limit = "memory"  // what all callers may hold
 	Address Limit = "address" // what the callers of one address may hold
+	Team    Limit = "team"    // what the callers of one team may hold
 	Slots   Limit = "slots"   // connections that may be open
 )
 
@@ -51,7 +52,7 @@
 	Limits struct {
 		Bytes   int64 // held for all callers together
 		Reserve int64 // the part of Bytes that is for small accounts
-		Address int64 // held for the callers of one address
+		Address int64 // held for the callers of one address, and for those of one team
 	}
 
 	// Holder holds memory for one caller.
@@ -73,9 +74,9 @@
 
 		mu       rank.Mutex
 		held     int64
-		leaving  int64 // of held: by accounts that were told to give way
 		accounts map[*Account]bool
 		byAddr   map[string]int64
+		byTeam   map[string]int64
 		released chan struct{} // closed at the next release; nil if nobody waits for it
 	}
 
@@ -84,6 +85,7 @@
 		budget  *Budget
 		holder  Holder
 		address string
+		team    string // empty while it isn't known
 		held    int64
 		lag     time.Duration // by which the caller is behind minRate, up to since
 		since   time.Time     // since when the process waits for the caller; zero if it doesn't
@@ -125,6 +127,7 @@
 		mu:       rank.New(rank.Allowance),
 		accounts: map[*Account]bool{},
 		byAddr:   map[string]int64{},
+		byTeam:   map[string]int64{},
 	}
 }
 
@@ -147,6 +150,20 @@
 // Largest returns the most that one account can get.
 func (b *Budget) Largest() int64 { return min(b.limits.Address, b.limits.Bytes-b.limits.Reserve) }
 
+// Join notes the team of the account's caller; the empty one is none. What the account
+// holds stays.
+func (a *Account) Join(team string) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed || a.team == team {
+		return
+	}
+	addTo(b.byTeam, a.team, -a.held)
+	a.team = team
+	addTo(b.byTeam, team, a.held)
+}
+
 // Grow asks for n more bytes. If they aren't granted, it names those who must give way;
 // the caller may ask again when some memory has been released. An account that was told
 // to give way gets nothing.
@@ -159,16 +176,20 @@
 	}
 	memory := b.held + n - b.memoryLimit(a.held+n)
 	address := b.byAddr[a.address] + n - b.limits.Address
-	if memory <= 0 && address <= 0 {
-		b.add(a, n)
-		return Answer{Granted: true}
-	}
+	team := b.byTeam[a.team] + n - b.limits.Address // of no team, nothing is counted
 	answer := Answer{Limit: Memory}
-	if address > 0 {
+	switch {
+	case address > 0:
 		answer.Limit = Address
-		answer.GiveWay = b.choose(now, a, address, true)
-	} else if memory > b.leaving {
-		answer.GiveWay = b.choose(now, a, memory-b.leaving, false)
+		answer.GiveWay = b.choose(now, a, address, Address)
+	case team > 0:
+		answer.Limit = Team
+		answer.GiveWay = b.choose(now, a, team, Team)
+	case memory <= 0:
+		b.add(a, n)
+		return Answer{Granted: true}
+	default:
+		answer.GiveWay = b.choose(now, a, memory, Memory)
 	}
 	if b.released == nil {
 		b.released = make(chan struct{})
@@ -243,10 +264,7 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.leaving && !a.closed {
-		a.leaving = false
-		b.leaving -= a.held
-	}
+	a.leaving = false
 }
 
 // Slowest returns at most n of the holders of the given accounts, whose connections must
@@ -276,31 +294,36 @@
 func (b *Budget) add(a *Account, n int64) {
 	a.held += n
 	b.held += n
-	if a.leaving {
-		b.leaving += n
-	}
-	b.byAddr[a.address] += n
-	if b.byAddr[a.address] == 0 {
-		delete(b.byAddr, a.address)
-	}
+	addTo(b.byAddr, a.address, n)
+	addTo(b.byTeam, a.team, n)
 	if n < 0 && b.released != nil {
 		close(b.released)
 		b.released = nil
 	}
 }
 
+// addTo adds n bytes to those of a group; the empty name is none.
+func addTo(groups map[string]int64, name string, n int64) {
+	if name == "" {
+		return
+	}
+	groups[name] += n
+	if groups[name] == 0 {
+		delete(groups, name)
+	}
+}
+
 // choose returns the accounts that must give way so that an account gets the bytes that
-// it lacks. One that has kept less waiting than the asker doesn't. b.mu must be locked.
-func (b *Budget) choose(now time.Time, asker *Account, lacking int64, sameAddress bool) []Holder {
+// it lacks under a limit. One that has kept less waiting than the asker doesn't. b.mu must
+// be locked.
+func (b *Budget) choose(now time.Time, asker *Account, lacking int64, limit Limit) []Holder {
 	debt := asker.debt(now)
 	var list []*Account
 	for a := range b.accounts {
 		switch {
-		case a == asker, sameAddress && a.address != asker.address:
+		case a == asker, !a.shares(limit, asker):
 		case a.leaving:
-			if sameAddress {
-				lacking -= a.held
-			}
+			lacking -= a.held
 		case a.mayGiveWay(now) && a.debt(now) > debt:
 			list = append(list, a)
 		}
@@ -310,10 +333,6 @@
 	}
 	sortByDebt(now, list)
 	lacking += int64(roomShare * float64(b.limits.Bytes))
-	limit := Memory
-	if sameAddress {
-		limit = Address
-	}
 	var holders []Holder
 	for _, a := range list {
 		if lacking <= 0 {
@@ -325,10 +344,20 @@
 	return holders
 }
 
+// shares reports whether two accounts count under the same limit.
+func (a *Account) shares(limit Limit, other *Account) bool {
+	switch limit {
+	case Address:
+		return a.address == other.address
+	case Team:
+		return a.team == other.team
+	}
+	return true
+}
+
 // leave marks an account as leaving and returns its holder. b.mu must be locked.
 func (b *Budget) leave(a *Account, limit Limit) Holder {
 	a.leaving = true
-	b.leaving += a.held
 	if b.watcher != nil {
 		b.watcher.Refused(a.address, limit, true)
 	}
--- a/internal/callers/allowance/allowance_test.go
+++ b/internal/callers/allowance/allowance_test.go
@@ -112,6 +112,17 @@
 			s.grow(s.open("second", "10.0.0.1"), 90)
 			s.grow(s.open("other", "10.0.0.2"), 90)
 		}},
+		{"one team doesn't take what the others need", func(s *scene) {
+			a, b := s.open("first", "10.0.0.1"), s.open("second", "10.0.0.2")
+			a.account.Join("crews")
+			s.grow(a, 700)
+			s.pass(time.Second)
+			s.grow(b, 90)
+			b.account.Join("crews")
+			s.grow(b, 1)
+			b.account.Join("")
+			s.grow(b, 1)
+		}},
 		{"small accounts have a reserve", func(s *scene) {
 			a, b := s.open("a", "10.0.0.1"), s.open("b", "10.0.0.2")
 			s.grow(a, 400)
@@ -167,6 +178,7 @@
 	s := newScene(1 << 20)
 	a := s.open("a", "10.0.0.1")
 	s.grow(a, 100)
+	a.account.Join("crews")
 	a.account.Shrink(40 << 10)
 	a.account.Close()
 	a.account.Close()
@@ -177,7 +189,7 @@
 	if got := a.account.Grow(s.now, 1); got.Granted {
 		t.Error("got memory for a closed account, want none")
 	}
-	if got := len(s.budget.accounts) + len(s.budget.byAddr); got != 0 {
+	if got := len(s.budget.accounts) + len(s.budget.byAddr) + len(s.budget.byTeam); got != 0 {
 		t.Errorf("got %d entries left, want none", got)
 	}
 }
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -33,15 +33,23 @@
 	}
 )
 
-// resize sets the number of bytes that are held, and reports whether the limit and the
-// caller's share of the process's memory allow it. Fewer bytes are always allowed.
-func (s *bufferShare) resize(bytes int) bool {
-	if more := int64(bytes) - s.charged; s.hold != nil && more > 0 {
-		if !s.hold(more) {
-			return false
-		}
-		s.charged += more
+// charge charges the caller for bytes that are about to be held, in place of those of
+// before, and reports whether there is room for them.
+func (s *bufferShare) charge(bytes int) bool {
+	more := int64(bytes) - s.charged
+	if more <= 0 || s.hold == nil {
+		return true
 	}
+	if !s.hold(more) {
+		return false
+	}
+	s.charged += more
+	return true
+}
+
+// resize sets the number of bytes that are held, and reports whether the limit allows
+// it. Fewer bytes are always allowed.
+func (s *bufferShare) resize(bytes int) bool {
 	counted := int64(max(bytes-freeBufferBytes, 0))
 	total := s.limit.held.Add(counted - s.held)
 	if counted > s.held && total > maxBufferBytes {
@@ -65,8 +73,11 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(max(2*cap(body), minBufferGrowth), maxResponseBytes+1)
+			if !share.charge(size) {
+				return nil, fault.New(fault.TooLarge, fault.MaybeRun, "no room for the response: callers hold all of their memory")
+			}
 			if !share.resize(size) {
-				return nil, fault.New(fault.TooLarge, fault.MaybeRun, "no room for the response: responses hold at most %d bytes at a time, and callers their share of the memory", maxBufferBytes)
+				return nil, fault.New(fault.TooLarge, fault.MaybeRun, "responses hold more than %d bytes at a time", maxBufferBytes)
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -98,7 +98,8 @@
 	for {
 		n, err := f.resp.Read(buf)
 		complete, tooLarge := splitter.feed(buf[:n])
-		tooLarge = !j.buffers.resize(cap(splitter.partial)) || tooLarge
+		partialBytes := cap(splitter.partial)
+		tooLarge = !j.buffers.charge(partialBytes) || !j.buffers.resize(partialBytes) || tooLarge
 		if len(complete) > 0 && !stall.received(time.Now()) {
 			return true, errLeft
 		}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -100,6 +100,11 @@
 		return fault.New(fault.Unavailable, fault.NotRun, "the key may have been withdrawn: no control instance has said for %v that the routes are current", j.relay.settings.RevocationLimit.Std())
 	}
 	j.team = team
+	if team != nil {
+		gate.Join(j.request.Context(), team.Name)
+	} else {
+		gate.Join(j.request.Context(), "")
+	}
 	return nil
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -33,6 +33,7 @@
 		entry.WriteError(w, err)
 		return
 	}
+	gate.Join(r.Context(), caller.Accepted.Contract.Customer)
 	body, err := gate.ReadBody(r)
 	if err != nil {
 		entry.WriteError(w, err)
