--- a/cmd/endivedeck/crowd_test.go
+++ b/cmd/endivedeck/crowd_test.go
@@ -483,6 +483,36 @@
 	entry.playAll(t)
 }
 
+// TestCrowdDescriptors opens more connections to each listener beside that of callers than
+// the process may have descriptors.
+func TestCrowdDescriptors(t *testing.T) {
+	relay, control := newMachineSite(t)
+	host, _, err := net.SplitHostPort(relay.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name    string
+		site    *crowdSite
+		address string
+		path    string
+	}{
+		{"readiness", relay, host + ":20001", "/"},
+		{"relay-metrics", relay, host + ":9464", "/metrics"},
+		{"control-metrics", control, host + ":9465", "/metrics"},
+		{"operator", control, control.address, "/-/config"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := *test.site
+			s.t, s.address = t, test.address
+			s.ordinary = func() error { return get(s.system.ctx, http.MethodGet, "http://"+test.address+test.path, "", 200) }
+			shape := crowdShape{"handshakes", crowdDescriptors + 100, func(*member) {}}
+			s.check(func(c *crowd) { c.gather(shape.members, func(i int) io.Closer { return s.come(shape, i) }) })
+		})
+	}
+	relay.system.t = t
+}
+
 func (s *crowdSite) playAll(t *testing.T) {
 	for _, shape := range crowdShapes {
 		t.Run(shape.name, func(t *testing.T) {
