--- a/placement/loads.go
+++ b/placement/loads.go
@@ -159,8 +159,7 @@
 	loads := t.peerLoads[relay].loads
 	for _, l := range list {
 		if s := t.servers[l.Server]; s != nil {
-			s.speeds[answering].heard(now, before[l.Server].Answering, l.Answering)
-			s.speeds[generating].heard(now, before[l.Server].Generating, l.Generating)
+			t.heardSpeeds(now, s, before[l.Server], l)
 		}
 		if l == (Load{Server: l.Server}) {
 			delete(loads, l.Server)
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -71,6 +71,14 @@
 	}
 )
 
+// LearnSpeeds makes the table learn how fast each server is, for services whose servers
+// may differ. Otherwise all servers of a kind count as alike.
+func (t *Table) LearnSpeeds() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.learnsSpeeds = true
+}
+
 // lasting returns by which factor a server is slower than its kind all along.
 func (t *Table) lasting(now time.Time, s *server, m measure) float64 {
 	usual := t.usual(now, usualKey{engineKind{s.Service, s.Stage}, m})
@@ -157,11 +165,17 @@
 	}
 	tk.table.mu.Lock()
 	defer tk.table.mu.Unlock()
-	s := tk.table.servers[tk.Server.ID]
-	if s == nil {
-		return
+	if s := tk.table.servers[tk.Server.ID]; s != nil {
+		tk.table.observeSpeed(now, s, generating, nominalGap, gap)
+	}
+}
+
+// observeSpeed records how long a server has taken for work that takes usual on an engine
+// of its kind.
+func (t *Table) observeSpeed(now time.Time, s *server, m measure, usual, took time.Duration) {
+	if t.learnsSpeeds {
+		s.speeds[m].observe(now, usual, took)
 	}
-	s.speeds[generating].observe(now, nominalGap, gap)
 }
 
 // observe records how long a server has taken for work that takes usual on an engine of
@@ -188,6 +202,14 @@
 	return SpeedSample{Count: s.count, LogRatio: int(1000 * s.logRatio)}
 }
 
+// heardSpeeds records what another relay has measured of a server since its report before.
+func (t *Table) heardSpeeds(now time.Time, s *server, before, l Load) {
+	if t.learnsSpeeds {
+		s.speeds[answering].heard(now, before.Answering, l.Answering)
+		s.speeds[generating].heard(now, before.Generating, l.Generating)
+	}
+}
+
 // heard records the samples of another relay, unless they were heard before.
 func (s *serverSpeed) heard(now time.Time, before, sample SpeedSample) {
 	if sample.Count != 0 && sample.Count != before.Count {
--- a/placement/table.go
+++ b/placement/table.go
@@ -26,6 +26,7 @@
 		prefillPaces map[engineKind]*pace.Model
 		handoffPaces map[engineKind]*pace.Model // of the engine that decodes
 		usualSpeeds  map[usualKey]usualSpeed
+		learnsSpeeds bool                   // see LearnSpeeds
 		shares       *share.Table           // of the engines' time, by team
 		pacer        Pacer                  // nil if servers aren't paced
 		peerRatios   map[engineKind]float64 // estimate of peerQuantile of the ratios of measured to expected times, with a pacer
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -141,7 +141,7 @@
 		return // others may have overtaken it
 	}
 	slowness := tk.table.slowness(now, s)
-	s.speeds[answering].observe(now, tk.usualTime, firstByte)
+	tk.table.observeSpeed(now, s, answering, tk.usualTime, firstByte)
 	usual := time.Duration(float64(firstByte) / slowness) // on an engine that is as fast as usual
 	if tk.handoff {
 		tk.table.handoffPace(s).Observe(tk.transferTime, usual)
--- a/placement/uneven_test.go
+++ b/placement/uneven_test.go
@@ -80,6 +80,7 @@
 	}
 	for i := range tables {
 		tables[i] = New()
+		tables[i].LearnSpeeds()
 		tables[i].SetServers(servers)
 		sent[i] = map[string]Load{}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,7 @@
 		Limits         gate.Limits       `json:"limits"`
 		Usage          UsageSettings     `json:"usage,omitzero"`
 		Ramp           bool              `json:"ramp"`         // pace servers that start or recover
+		Speeds         bool              `json:"speeds"`       // learn how fast each server is; otherwise those of a kind count as alike
 		OperatorKeys   []access.Operator `json:"operatorKeys"` // of those who may ask for previews on ReadyListen
 
 		// RevocationLimit is how long the relay takes keys without word from a control
@@ -199,6 +200,9 @@
 	r.cacheSurvey = newCacheSurvey(r)
 	r.evidence = newEvidenceExchange(r)
 	r.usage = newUsageReporter(r, settings.Usage)
+	if settings.Speeds {
+		r.placement.LearnSpeeds()
+	}
 	if settings.Ramp {
 		r.ramps = ramp.New(settings.PeerListen)
 		r.placement.SetPacer(r.ramps)
