Take the typical time of an engine below its queues, and apply factors only where engines are uneven

Change: a low quantile in place of the median, and no factor unless 0.15 of a service's engines are outside of the band.

--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -8,9 +8,8 @@
 // average for each engine, a stretch is either taken for what the engine is, long after it
 // has ended, or isn't noticed.
 //
-// A Model therefore keeps the median over time, which stretches that are shorter than half
-// of the time don't move, and beside it a deviation from the median that is forgotten
-// within a stretch's length. Differences within a dead band count as none, so that engines
+// A Model therefore keeps a low quantile over time, which neither such stretches nor queues
+// move, and beside it a deviation from that which is forgotten within a stretch's length. Differences within a dead band count as none, so that engines
 // that are alike are treated alike.
 //
 // The package performs no I/O, and callers pass in the current time.
@@ -22,11 +21,15 @@
 )
 
 const (
-	// medianRate limits how fast the median moves, in natural logarithms per second: a
-	// stretch of 600 ms moves it by 15%, and the time after it moves it back.
-	medianRate = 0.25
+	// typicalQuantile is the quantile of the samples that counts as typical. Above it are
+	// queues that the one who took the sample didn't know of.
+	typicalQuantile = 0.3
 
-	// learningRate is the same at an engine's first sample. It falls to medianRate within
+	// typicalRate limits how fast what is typical moves, in natural logarithms per second: a
+	// stretch of 600 ms moves it by 9%, and the time after it moves it back.
+	typicalRate = 0.25
+
+	// learningRate is the same at an engine's first sample. It falls to typicalRate within
 	// learningTime of samples. After knownTime of samples the engine is compared with
 	// others.
 	learningRate = 3.0
@@ -38,7 +41,7 @@
 	deviationHalfLife = 120 * time.Millisecond // without samples
 	deviationWeight   = 0.35                   // of one sample
 
-	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster than the median
+	maxLogRatio = 1.6 // a sample counts as at most five times slower or faster than what is typical
 
 	// Dead bands. Below minLasting times the usual duration an engine counts as usual, and
 	// below minPassing times its own it counts as in no stretch.
@@ -49,8 +52,8 @@
 // Model is what is known about one engine. The zero value knows nothing and estimates that
 // the engine is as fast as usual.
 type Model struct {
-	Median    float64       // of the logarithm of the ratio of actual and expected durations, over time
-	Deviation float64       // recent deviation of that logarithm from the median, as of At
+	Typical   float64       // logarithm of the ratio of actual and expected durations, over time
+	Deviation float64       // recent deviation of that logarithm from Typical, as of At
 	At        time.Time     // of the last sample
 	Learned   time.Duration // time covered by samples
 }
@@ -60,15 +63,17 @@
 // same for all engines that are compared, but needn't be right.
 func (m *Model) Observe(now time.Time, logRatio float64) {
 	if m.Learned == 0 {
-		m.Median, m.At = logRatio, now
+		m.Typical, m.At = logRatio, now
 	}
-	logRatio = min(max(logRatio, m.Median-maxLogRatio), m.Median+maxLogRatio)
+	logRatio = min(max(logRatio, m.Typical-maxLogRatio), m.Typical+maxLogRatio)
 	covered := min(max(now.Sub(m.At), time.Millisecond), maxSampleTime)
-	rate := max(learningRate*(1-m.Learned.Seconds()/learningTime.Seconds()), medianRate)
+	rate := max(learningRate*(1-m.Learned.Seconds()/learningTime.Seconds()), typicalRate)
 	m.Deviation = m.currentDeviation(now)
-	m.Deviation += deviationWeight * (logRatio - m.Median - m.Deviation)
-	step := rate * covered.Seconds()
-	m.Median += min(max(logRatio-m.Median, -step), step)
+	m.Deviation += deviationWeight * (logRatio - m.Typical - m.Deviation)
+	// A sample above counts less than one below by as much as makes the quantile the point
+	// of balance.
+	step := 2 * rate * covered.Seconds()
+	m.Typical += min(max(logRatio-m.Typical, -(1-typicalQuantile)*step), typicalQuantile*step)
 	m.Learned += covered
 	m.At = now
 }
@@ -76,10 +81,10 @@
 // Known reports whether there were enough samples to say how fast the engine is.
 func (m *Model) Known() bool { return m.Learned >= knownTime }
 
-// Lasting returns by which factor the engine is slower than usual all along. usual is the
-// median of Median over the engines of its kind. It is 1 within the dead band.
+// Lasting returns by which factor the engine is slower than usual all along. usual is
+// Typical of an engine of its kind that counts as usual. It is 1 within the dead band.
 func (m *Model) Lasting(usual float64) float64 {
-	factor := math.Exp(m.Median - usual)
+	factor := math.Exp(m.Typical - usual)
 	if !m.Known() || factor < minLasting && factor > 1/minLasting {
 		return 1
 	}
--- a/placement/speeds.go
+++ b/placement/speeds.go
@@ -13,7 +13,7 @@
 const (
 	usualInterval    = 250 * time.Millisecond // between two computations of the usual speed of a kind
 	minKnownSpeeds   = 2                      // engines of a kind whose speeds must be known to compare them
-	minUnevenShare   = 0.1                    // of a service's engines; fewer may be ill
+	minUnevenShare   = 0.15                   // of a service's engines; fewer may be ill
 	speedSampleTTL   = 200 * time.Millisecond // a sample is told to other relays for this long
 	nominalGap       = 50 * time.Millisecond  // between two events of a chat
 	speedSampleShare = 0.5                    // weight of a new sample in what is told to other relays
@@ -64,7 +64,7 @@
 
 	// usualSpeed is the speed of most engines of a kind, by one measure.
 	usualSpeed struct {
-		median float64 // speed.Model.Median of the engine at the quantile of usualQuantiles
+		median float64 // speed.Model.Typical of the engine at the quantile of usualQuantiles
 		known  int     // engines with a known speed
 		others int     // number of these that are faster or slower than usual
 		at     time.Time
@@ -91,6 +91,9 @@
 // generatesSlowly reports whether a server takes longer for the events of chats all along
 // than its kind. Of a server without chats that is told by its answers to prompts.
 func (t *Table) generatesSlowly(now time.Time, s *server) bool {
+	if !t.uneven(now, s.Service) {
+		return false
+	}
 	if s.speeds[generating].model.Known() {
 		return t.lasting(now, s, generating) > 1
 	}
@@ -98,8 +101,11 @@
 }
 
 // slowness returns by which factor a server is slower just now to answer prompts than its
-// kind.
+// kind, where engines are uneven. Elsewhere what deviates are queues.
 func (t *Table) slowness(now time.Time, s *server) float64 {
+	if !t.uneven(now, s.Service) {
+		return 1
+	}
 	return t.lasting(now, s, answering) * s.speeds[answering].model.Passing(now)
 }
 
@@ -140,7 +146,7 @@
 	var medians []float64
 	for _, s := range t.byService[key.kind.service] {
 		if s.Stage == key.kind.stage && s.speeds[key.measure].model.Known() {
-			medians = append(medians, s.speeds[key.measure].model.Median)
+			medians = append(medians, s.speeds[key.measure].model.Typical)
 		}
 	}
 	slices.Sort(medians)
