--- a/placement/pauses.go
+++ b/placement/pauses.go
@@ -10,7 +10,8 @@
 	// maxPrefillPart is the part of the longest pause allowed in a stream that an engine
 	// which decodes may spend on prefills. It needs the rest for its decode steps.
 	maxPrefillPart = 0.8
-	chatsPart      = 0.4 // the same beside chats, whose many events all have to come in time
+	pressedPart    = 1.25 // the same while there is too little room: a few late events are better than refusing more
+	chatsPart      = 0.4  // the same beside chats, whose many events all have to come in time
 
 	fewChats        = 3                      // an engine with more of them is kept for them also while there is too little room
 	resumePart      = 0.25                   // of the longest pause, that the prefill of a chat that goes on is taken to need
@@ -74,12 +75,13 @@
 	}
 	recent := t.recentOn(now, s)
 	pressed := t.pressed(now, req)
-	switch {
-	case chats > fewChats, chats > 0 && !pressed:
+	if chats > fewChats || chats > 0 && !pressed {
 		return recent+prefill > time.Duration(chatsPart*float64(req.PauseObjective))
-	case pressed: // a few late events are better than refusing more
-		return false
 	}
-	budget := time.Duration(maxPrefillPart * float64(req.PauseObjective))
+	part := maxPrefillPart
+	if pressed {
+		part = pressedPart
+	}
+	budget := time.Duration(part * float64(req.PauseObjective))
 	return recent > 0 && recent+min(prefill, budget*3/4) > budget
 }
