--- a/gate/gate.go
+++ b/gate/gate.go
@@ -25,6 +25,7 @@
 
 const (
 	defaultMemory     = 1 << 30 // bytes
+	sideConns         = 64
 	minBodyGrowth     = 4 << 10
 	headSlackBytes    = 4 << 10 // over the limit of a head, whose size isn't known to the byte
 	refusedRetryAfter = "1"     // seconds
@@ -96,6 +97,13 @@
 	}
 }
 
+// SideLimits returns limits with few connections, for a server beside that of callers, such
+// as for metrics.
+func SideLimits(limits Limits) Limits {
+	limits.MaxConns = min(limits.MaxConns, sideConns)
+	return limits
+}
+
 // New is NewWithin with a budget of its own.
 func New(address string, handler http.Handler, limits Limits, tlsConfig *tls.Config) (*Server, error) {
 	return NewWithin(nil, address, handler, limits, tlsConfig)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -186,7 +186,7 @@
 // Start starts the metrics server, if MetricsListen is set, and the role.
 func (k *Kernel) Start(ctx context.Context) error {
 	if address := k.host.Process.MetricsListen; address != "" {
-		server, err := gate.NewWithin(k.host.Callers, address, MetricsHandler(k.host.Metrics), gate.DefaultLimits(), nil)
+		server, err := gate.NewWithin(k.host.Callers, address, MetricsHandler(k.host.Metrics), gate.SideLimits(gate.DefaultLimits()), nil)
 		if err != nil {
 			return err
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -217,7 +217,7 @@
 	go r.run()
 	go r.cacheSurvey.run(r.ctx)
 	go r.evidence.run(r.ctx)
-	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, r.readyHandler(), r.settings.Limits, nil)
+	ready, err := gate.NewWithin(r.host.Callers, r.settings.ReadyListen, r.readyHandler(), gate.SideLimits(r.settings.Limits), nil)
 	if err != nil {
 		return err
 	}
