Set the soft limit of the runtime only where the settings name the memory

A process whose settings say nothing, on a machine with more than the default of 1,024 MB, would have spent its time collecting garbage from 768 MB on.

--- a/command/serve.go
+++ b/command/serve.go
@@ -70,7 +70,9 @@
 	if process.MaxCores > 0 {
 		runtime.GOMAXPROCS(process.MaxCores)
 	}
-	debug.SetMemoryLimit(process.SoftMemoryLimit())
+	if process.MaxMemory > 0 {
+		debug.SetMemoryLimit(process.SoftMemoryLimit())
+	}
 	debug.SetGCPercent(process.GCPercent)
 	if err := redirectLibraryLog(process, logOutput); err != nil {
 		return reportError(err)
