--- a/placement/pacer.go
+++ b/placement/pacer.go
@@ -45,16 +45,14 @@
 	return r
 }
 
-// left reports whether a request of this relay may be added to those that run at a server.
-// Chats may: each needs a fraction of a step, and they go by an order of their own, out of
-// which prompts would suffer beside them elsewhere.
-func (r *room) left(s *server, req Request) bool {
+// left reports whether one more request of this relay may run at a server.
+func (r *room) left(s *server) bool {
 	s.paced = r.paced[s.ID]
 	if !s.paced {
 		return true
 	}
 	s.pace = r.table.pacer.Pace(s.ID, r.peersOf(s))
-	return len(req.Prompt) > 0 && req.isChat() || s.active-s.chats < s.pace.Share
+	return s.active < s.pace.Share
 }
 
 // peersOf returns the state of the servers of the same kind as s.
@@ -81,8 +79,7 @@
 			p.Paced++
 		default:
 			p.Steady++
-			load := t.loadOf(now, s)
-			p.Requests += load.active - load.chats
+			p.Requests += t.loadOf(now, s).active
 		}
 	}
 	return p
@@ -107,7 +104,7 @@
 // of its fastest peer. The relay's own measurements aren't used: they grow old if it
 // sends nothing, while the pacer's ratio is that of all relays.
 func (s *server) pacedLatency(latency time.Duration) time.Duration {
-	if s.active-s.chats < s.pace.Trials {
+	if s.active < s.pace.Trials {
 		return latency
 	}
 	return time.Duration(s.pace.Ratio * float64(latency))
@@ -137,9 +134,6 @@
 		return
 	}
 	tk.firstByte = firstByte
-	if tk.chat {
-		return // says nothing about prompts
-	}
 	tk.observe(now, s, ramp.Sample{Result: ramp.Answered, First: firstByte})
 }
 
--- a/placement/preview.go
+++ b/placement/preview.go
@@ -121,7 +121,7 @@
 // paced records the pace of a server.
 func (p *Preview) paced(s *server) {
 	if p != nil && s.paced {
-		p.Servers[p.byID[s.ID]].Pace = &PreviewPace{Share: s.pace.Share, Running: s.active - s.chats, Ratio: s.pace.Ratio}
+		p.Servers[p.byID[s.ID]].Pace = &PreviewPace{Share: s.pace.Share, Running: s.active, Ratio: s.pace.Ratio}
 	}
 }
 
--- a/placement/table.go
+++ b/placement/table.go
@@ -219,7 +219,7 @@
 		case now.Before(s.backoffUntil):
 			inBackoff = append(inBackoff, s)
 			req.preview.exclude(s, reasonBackoff, s.backoffUntil.Sub(now))
-		case !room.left(s, req):
+		case !room.left(s):
 			limited = append(limited, s)
 			req.preview.exclude(s, reasonPaced, 0)
 		default:
