Let the relays' testbed miss no update of the routes

Cause: TestTeamKeys failed once beside load: a subscription was sent the update of its start, but was registered only after that, so that a change in between never reached the relay. Change: both happen under the testbed's mutex.

--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -169,17 +169,17 @@
 // open.
 func (b *testbed) sendUpdate(call *wire.ServerCall) {
 	b.mu.Lock()
-	update, hold := b.update, b.hold
+	hold := b.hold
 	b.mu.Unlock()
 	if hold != nil {
 		<-hold
 	}
-	if err := call.Send(update); err != nil {
+	b.mu.Lock()
+	defer b.mu.Unlock() // until the call is registered, so that it misses no later update
+	if err := call.Send(b.update); err != nil {
 		call.End()
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.calls = append(b.calls, call)
 }
 
