--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -272,13 +272,8 @@
 func TestRelayUpdates(t *testing.T) {
 	withSeeds(t, []string{"seed-1", "seed-2", "seed-3"}, func(cl *cluster) {
 		cl.awaitLeader()
-		r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024)}
-		defer r.client.Close()
-		ctx, cancel := context.WithCancel(cl.t.Context())
-		r.running.Add(1)
-		go r.run(ctx)
-		defer r.running.Wait()
-		defer cancel()
+		r := cl.subscribe()
+		defer r.close()
 		cl.putRoutes("seed-1", routeTable(4, "ledger"))
 		api := &API{control: cl.controls["seed-2"].control}
 		api.AnnounceServer(roster.Server{ID: "a", Service: "ledger", Address: "10.0.0.1:80", StartedAt: 5, Seq: 1})
@@ -314,13 +309,8 @@
 		for i := range 200 {
 			api.AnnounceServer(roster.Server{ID: fmt.Sprintf("i-%08d", i), Service: "ledger", Address: fmt.Sprintf("10.0.0.%d:80", i), StartedAt: 5, Seq: 1})
 		}
-		r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024)}
-		defer r.client.Close()
-		ctx, cancel := context.WithCancel(cl.t.Context())
-		r.running.Add(1)
-		go r.run(ctx)
-		defer r.running.Wait()
-		defer cancel()
+		r := cl.subscribe()
+		defer r.close()
 		if first := <-r.updates; len(first.Servers) != 200 || first.Routes != nil {
 			t.Errorf("got %d servers and routes %v in the first update, want 200 and none", len(first.Servers), first.Routes)
 		}
@@ -341,12 +331,29 @@
 	})
 }
 
+// updateReader is subscribed to the updates of an instance, as a relay is.
 type updateReader struct {
 	client  *wire.Client
 	updates chan message.RelayUpdate
+	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
+// subscribe subscribes a reader to seed-2 until its close is called.
+func (cl *cluster) subscribe() *updateReader {
+	ctx, cancel := context.WithCancel(cl.t.Context())
+	r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024), cancel: cancel}
+	r.running.Add(1)
+	go r.run(ctx)
+	return r
+}
+
+func (r *updateReader) close() {
+	r.cancel()
+	r.running.Wait()
+	r.client.Close()
+}
+
 func (r *updateReader) run(ctx context.Context) {
 	defer r.running.Done()
 	call, err := r.client.OpenCall(ctx, "seed-2", message.MethodUpdates, message.SubscribeRequest{Relay: "relay-1"})
@@ -386,13 +393,8 @@
 		if got := in.control.state.Routes().Version; got == 0 || got > version {
 			t.Fatalf("got version %d from the disk, want one of 1 to %d", got, version)
 		}
-		r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024)}
-		defer r.client.Close()
-		ctx, cancel := context.WithCancel(cl.t.Context())
-		r.running.Add(1)
-		go r.run(ctx)
-		defer r.running.Wait()
-		defer cancel()
+		r := cl.subscribe()
+		defer r.close()
 		interval.Sleep(cl.t.Context(), 3*time.Second)
 		for len(r.updates) > 0 {
 			if update := <-r.updates; update.Routes != nil || update.Current {
