--- a/control/publisher.go
+++ b/control/publisher.go
@@ -4,8 +4,11 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"endivedeck.example/internal/fleet/shard"
+	"endivedeck.example/internal/fleet/spread"
 	"endivedeck.example/message"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
@@ -44,10 +47,11 @@
 		request   message.SubscribeRequest
 		wake      chan struct{}
 		done      chan struct{}
+		held      atomic.Uint64 // version of the routes in force at the relay, as it has said
 
 		// What the relay has been sent. Only run uses these.
 		delivery         roster.Delivery
-		routesVersion    uint64
+		routes           spread.Delivery
 		controlAddresses []string
 		relayAddresses   []string
 	}
@@ -71,6 +75,7 @@
 	}
 	p.control.log.WithField("relay", request.Relay).WithField("version", request.RoutesVersion).Info("relay subscribed")
 	go s.run()
+	go s.loop()
 }
 
 func (p *relayPublisher) add(s *relaySubscriber) bool {
@@ -80,7 +85,7 @@
 		return false
 	}
 	p.subscribers[s] = true
-	p.running.Add(1)
+	p.running.Add(2)
 	return true
 }
 
@@ -88,7 +93,6 @@
 	p.mu.Lock()
 	delete(p.subscribers, s)
 	p.mu.Unlock()
-	p.running.Done()
 }
 
 // relayAddresses returns the sorted addresses of the subscribed relays.
@@ -131,64 +135,94 @@
 
 // run sends updates to the relay until the stream fails or stop is called.
 func (s *relaySubscriber) run() {
+	defer s.publisher.running.Done()
 	defer s.publisher.remove(s)
+	defer s.call.Cancel() // ends loop
 	defer s.call.End()
 	timer := time.NewTimer(updateInterval)
 	defer timer.Stop()
-	s.routesVersion = s.request.RoutesVersion
-	for repeats := true; ; {
-		current, err := s.sendUpdates(time.Now(), repeats)
+	s.held.Store(s.request.RoutesVersion)
+	next := time.Now() // when announcements that change nothing are sent again
+	for {
+		now := time.Now()
+		repeats := !now.Before(next)
+		if repeats {
+			next = now.Add(updateInterval)
+		}
+		current, wait, err := s.sendUpdates(now, repeats)
 		if err != nil {
 			s.publisher.control.log.WithField("relay", s.request.Relay).WithField("error", err.Error()).Info("relay disconnected")
 			return
 		}
-		if repeats {
-			timer.Reset(updateInterval)
-		}
 		if !current {
-			timer.Reset(startupInterval)
+			next = now.Add(startupInterval)
 		}
+		pause := time.Until(next)
+		if wait > 0 {
+			pause = min(pause, wait)
+		}
+		timer.Reset(pause)
 		select {
 		case <-s.done:
 			return
 		case <-s.wake:
-			repeats = false
 		case <-timer.C:
-			repeats = true
 		}
 	}
 }
 
+// loop notes which routes the relay has until the stream ends.
+func (s *relaySubscriber) loop() {
+	defer s.publisher.running.Done()
+	for {
+		var routes message.RoutesInForce
+		if err := s.call.Receive(&routes); err != nil {
+			return
+		}
+		s.held.Store(routes.Version)
+	}
+}
+
 // sendUpdates sends what the relay hasn't been sent yet, and reports whether this
 // instance's routes were current at some time since it started. It sends no routes
 // before: those from its disk may have keys that were withdrawn. Routes follow the rest,
 // since a large table takes long on a thin link. repeats also sends announcements that
-// change nothing; such an update is sent even if it is empty.
-func (s *relaySubscriber) sendUpdates(now time.Time, repeats bool) (current bool, err error) {
+// change nothing; such an update is sent even if it is empty. wait is the time until a
+// table is to be sent, unless the relay has it by then from another instance; 0 for none.
+func (s *relaySubscriber) sendUpdates(now time.Time, repeats bool) (current bool, wait time.Duration, err error) {
 	c := s.publisher.control
 	var currentAt time.Time
 	if replica := c.activeReplica(); replica != nil {
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
 	table := c.state.Routes()
-	newRoutes := !currentAt.IsZero() && table.Version > s.routesVersion
+	newRoutes := false
+	if !currentAt.IsZero() {
+		s.routes.Held = s.held.Load()
+		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), s.place())
+	}
 	update := s.update(now, repeats)
-	if !newRoutes {
+	if !newRoutes && wait == 0 {
 		setCurrency(&update, currentAt)
 	}
 	if repeats || len(update.Servers)+len(update.ControlAddresses)+len(update.RelayAddresses) > 0 {
 		if err := s.call.Send(update); err != nil {
-			return false, err
+			return false, 0, err
 		}
 	}
 	if !newRoutes {
-		return update.Current, nil
+		return !currentAt.IsZero(), wait, nil
 	}
 	table.SourceText = nil
-	s.routesVersion = table.Version
 	update = message.RelayUpdate{Routes: &table}
 	setCurrency(&update, currentAt)
-	return true, s.call.Send(update)
+	return true, 0, s.call.Send(update)
+}
+
+// place returns the place of this instance in the order in which control instances send
+// large tables to the relay.
+func (s *relaySubscriber) place() int {
+	return shard.Place(s.controlAddresses, s.publisher.control.settings.Listen, s.request.Address)
 }
 
 // setCurrency says in an update since when this instance's state is known to be current.
--- a/internal/engines/ramp/fleet.go
+++ b/internal/engines/ramp/fleet.go
@@ -166,11 +166,7 @@
 	if known {
 		return place
 	}
-	for _, relay := range f.relays {
-		if relay != f.relay && shard.Owner([]string{relay, f.relay}, server) == relay {
-			place++
-		}
-	}
+	place = shard.Place(f.relays, f.relay, server)
 	f.places[server] = place
 	return place
 }
--- a/internal/fleet/shard/shard.go
+++ b/internal/fleet/shard/shard.go
@@ -17,3 +17,15 @@
 	}
 	return owner
 }
+
+// Place returns the place of a member in the order in which the members would own key if
+// those before them left: 0 for the owner.
+func Place(members []string, member, key string) int {
+	place := 0
+	for _, other := range members {
+		if other != member && Owner([]string{other, member}, key) == other {
+			place++
+		}
+	}
+	return place
+}
--- a/message/message.go
+++ b/message/message.go
@@ -39,7 +39,7 @@
 	MethodGenerate       = "work"     // entry to sidecar: GenerateRequest, stream of Chunk
 	MethodCancel         = "cancel"   // entry to sidecar: CancelRequest, Empty
 	MethodServiceCall    = "call"     // entry to sidecar: ServiceCall, ServiceResponse
-	MethodUpdates        = "news"     // relay to control: SubscribeRequest, stream of RelayUpdate
+	MethodUpdates        = "news"     // relay to control: SubscribeRequest and stream of RoutesInForce, stream of RelayUpdate
 	MethodLoads          = "loads"    // relay to relay: stream of RelayLoads
 	MethodUsage          = "usage"    // relay to control: UsageHello, stream of UsageReport
 )
@@ -221,6 +221,12 @@
 		Placement *placement.Preview `json:"placement,omitempty"`
 	}
 
+	// RoutesInForce tells a control instance, on the call by which a relay subscribes,
+	// which routes the relay has.
+	RoutesInForce struct {
+		Version uint64 `cbor:"1,keyasint"`
+	}
+
 	// RelayUpdate is an update for a relay. The first one of a subscription has
 	// everything but routes that the relay has already; each later one has what is new.
 	RelayUpdate struct {
--- a/relay/control.go
+++ b/relay/control.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
+	"endivedeck.example/wire"
 )
 
 const (
@@ -53,6 +54,26 @@
 	}
 }
 
+// loop tells the control instance which routes are in force, so that it doesn't send them,
+// until ctx is done or the call fails. told is the version that it knows of.
+func (s *controlSubscription) loop(ctx context.Context, call *wire.Call, told uint64) {
+	defer s.relay.tasks.Done()
+	for {
+		changed := s.relay.routeView.Changed() // before the version is read, so that none is missed
+		if version, _ := s.relay.routeView.Version(); version > told {
+			if err := call.Send(message.RoutesInForce{Version: version}); err != nil {
+				return // receiveUpdates sees that as well
+			}
+			told = version
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // receiveUpdates opens the subscription and applies updates until it fails.
 func (s *controlSubscription) receiveUpdates(ctx context.Context) error {
 	version, _ := s.relay.routeView.Version()
@@ -64,6 +85,10 @@
 	defer call.Cancel()
 	stopCancel := context.AfterFunc(ctx, call.Cancel)
 	defer stopCancel()
+	toldCtx, stopTelling := context.WithCancel(ctx)
+	defer stopTelling()
+	s.relay.tasks.Add(1)
+	go s.loop(toldCtx, call, version)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.relay.usage.start(ctx, s.address)
--- a/routes/view.go
+++ b/routes/view.go
@@ -17,10 +17,11 @@
 	limits       Limits
 	keysRequired bool
 	teams        teamIndex
+	changed      chan struct{} // closed when another table is put in force
 }
 
 // NewView returns a view with no table in force.
-func NewView() *View { return &View{mu: rank.New(rank.Contract)} }
+func NewView() *View { return &View{mu: rank.New(rank.Contract), changed: make(chan struct{})} }
 
 // Install puts t in force if it is newer than the current table, and reports
 // whether it was.
@@ -46,6 +47,8 @@
 	v.limits = t.Limits
 	v.keysRequired = t.KeysRequired
 	v.teams = teams
+	close(v.changed)
+	v.changed = make(chan struct{})
 	return true
 }
 
@@ -63,6 +66,13 @@
 	return v.limits
 }
 
+// Changed returns a channel that is closed when another table is put in force.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
 // Team returns the team that holds a key, or nil, and whether requests need a key.
 // The team is shared and must not be modified.
 func (v *View) Team(key string) (team *Team, required bool) {
