--- a/control/publisher.go
+++ b/control/publisher.go
@@ -10,6 +10,7 @@
 	"endivedeck.example/internal/fleet/shard"
 	"endivedeck.example/internal/fleet/spread"
 	"endivedeck.example/message"
+	"endivedeck.example/quorum"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
 	"endivedeck.example/wire"
@@ -192,14 +193,15 @@
 func (s *relaySubscriber) sendUpdates(now time.Time, repeats bool) (current bool, wait time.Duration, err error) {
 	c := s.publisher.control
 	var currentAt time.Time
-	if replica := c.activeReplica(); replica != nil {
+	replica := c.activeReplica()
+	if replica != nil {
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
 	table := c.state.Routes()
 	newRoutes := false
 	if !currentAt.IsZero() {
 		s.routes.Held = s.held.Load()
-		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), s.place())
+		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), s.place(replica))
 	}
 	update := s.update(now, repeats)
 	if !newRoutes && wait == 0 {
@@ -220,9 +222,20 @@
 }
 
 // place returns the place of this instance in the order in which control instances send
-// large tables to the relay.
-func (s *relaySubscriber) place() int {
-	return shard.Place(s.controlAddresses, s.publisher.control.settings.Listen, s.request.Address)
+// large tables to the relay. Those that keep the log on a disk go before the others, since
+// they are on the larger machines.
+func (s *relaySubscriber) place(replica *quorum.Replica) int {
+	self := s.publisher.control.settings.Listen
+	var voters []string
+	for _, member := range replica.Leadership().Status.Members {
+		if member.Voter {
+			voters = append(voters, member.Address)
+		}
+	}
+	if !slices.Contains(voters, self) {
+		return len(voters)
+	}
+	return shard.Place(voters, self, s.request.Address)
 }
 
 // setCurrency says in an update since when this instance's state is known to be current.
