--- a/control/publisher.go
+++ b/control/publisher.go
@@ -70,6 +70,7 @@
 		return
 	}
 	s := &relaySubscriber{publisher: p, call: call, request: request, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	s.held.Store(request.RoutesVersion)
 	if !p.add(s) {
 		call.End()
 		return
@@ -142,7 +143,6 @@
 	defer s.call.End()
 	timer := time.NewTimer(updateInterval)
 	defer timer.Stop()
-	s.held.Store(s.request.RoutesVersion)
 	next := time.Now() // when announcements that change nothing are sent again
 	for {
 		now := time.Now()
--- a/gate/listener.go
+++ b/gate/listener.go
@@ -115,8 +115,9 @@
 }
 
 // Accept waits until the number of open connections is below the limit and then
-// accepts one. At the limit, connections that wait for their callers give way. At a stop it first accepts the connections that the kernel has
-// completed, whose requests may have been sent already, and then fails.
+// accepts one. At the limit, connections that wait for their callers give way. At a stop
+// it first accepts the connections that the kernel has completed, whose requests may have
+// been sent already, and then fails.
 func (l *listener) Accept() (net.Conn, error) {
 	l.takeSlot()
 	inner, err := l.AcceptTCP()
