Test that a relay is sent a large routing table once

Cause: the turns of control instances were tested only as a decision. Change: TestLargeRoutesAreSentOnce subscribes to three instances as a relay does. Result: one table where the relay says that it has it, three where it doesn't.

--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"endivedeck.example/fault"
 	"endivedeck.example/golden"
+	"endivedeck.example/internal/fleet/spread"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/quorum"
@@ -272,7 +272,7 @@
 func TestRelayUpdates(t *testing.T) {
 	withSeeds(t, []string{"seed-1", "seed-2", "seed-3"}, func(cl *cluster) {
 		cl.awaitLeader()
-		r := cl.subscribe()
+		r := cl.subscribe("seed-2")
 		defer r.close()
 		cl.putRoutes("seed-1", routeTable(4, "ledger"))
 		api := &API{control: cl.controls["seed-2"].control}
@@ -309,7 +309,7 @@
 		for i := range 200 {
 			api.AnnounceServer(roster.Server{ID: fmt.Sprintf("i-%08d", i), Service: "ledger", Address: fmt.Sprintf("10.0.0.%d:80", i), StartedAt: 5, Seq: 1})
 		}
-		r := cl.subscribe()
+		r := cl.subscribe("seed-2")
 		defer r.close()
 		if first := <-r.updates; len(first.Servers) != 200 || first.Routes != nil {
 			t.Errorf("got %d servers and routes %v in the first update, want 200 and none", len(first.Servers), first.Routes)
@@ -334,38 +334,36 @@
 // updateReader is subscribed to the updates of an instance, as a relay is.
 type updateReader struct {
 	client  *wire.Client
+	call    *wire.Call
 	updates chan message.RelayUpdate
-	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
-// subscribe subscribes a reader to seed-2 until its close is called.
-func (cl *cluster) subscribe() *updateReader {
-	ctx, cancel := context.WithCancel(cl.t.Context())
-	r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024), cancel: cancel}
+// subscribe subscribes a reader to an instance until its close is called.
+func (cl *cluster) subscribe(instance string) *updateReader {
+	cl.t.Helper()
+	r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024)}
+	call, err := r.client.OpenCall(cl.t.Context(), instance, message.MethodUpdates, message.SubscribeRequest{Relay: "relay-1", Address: "relay-1"})
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	r.call = call
 	r.running.Add(1)
-	go r.run(ctx)
+	go r.run()
 	return r
 }
 
 func (r *updateReader) close() {
-	r.cancel()
+	r.call.Cancel()
 	r.running.Wait()
 	r.client.Close()
 }
 
-func (r *updateReader) run(ctx context.Context) {
+func (r *updateReader) run() {
 	defer r.running.Done()
-	call, err := r.client.OpenCall(ctx, "seed-2", message.MethodUpdates, message.SubscribeRequest{Relay: "relay-1"})
-	if err != nil {
-		return
-	}
-	defer call.Cancel()
-	stop := context.AfterFunc(ctx, call.Cancel)
-	defer stop()
 	for {
 		var update message.RelayUpdate
-		if err := call.Receive(&update); err != nil {
+		if err := r.call.Receive(&update); err != nil {
 			return
 		}
 		r.updates <- update
@@ -393,7 +391,7 @@
 		if got := in.control.state.Routes().Version; got == 0 || got > version {
 			t.Fatalf("got version %d from the disk, want one of 1 to %d", got, version)
 		}
-		r := cl.subscribe()
+		r := cl.subscribe("seed-2")
 		defer r.close()
 		interval.Sleep(cl.t.Context(), 3*time.Second)
 		for len(r.updates) > 0 {
@@ -422,3 +420,58 @@
 		}
 	})
 }
+
+// TestLargeRoutesAreSentOnce subscribes to three instances as a relay does. Only one may
+// send it a large table, unless the relay doesn't say for a while that it has it; a small
+// one comes from all.
+func TestLargeRoutesAreSentOnce(t *testing.T) {
+	withSeeds(t, []string{"seed-1", "seed-2", "seed-3"}, func(cl *cluster) {
+		cl.awaitLeader()
+		var readers []*updateReader
+		for _, f := range cl.founders {
+			r := cl.subscribe(f.Instance)
+			defer r.close()
+			readers = append(readers, r)
+		}
+		interval.Sleep(cl.t.Context(), 2*time.Second)
+		for _, c := range []struct {
+			name    string
+			version uint64
+			bytes   int
+			tells   bool
+			want    int
+		}{
+			{"small, relay is silent", 4, 100, false, 3},
+			{"large", 5, spread.SmallBytes + 1, true, 1},
+			{"large, relay is silent", 6, spread.SmallBytes + 1, false, 3},
+		} {
+			table := routeTable(c.version, "ledger")
+			table.SourceText = make([]byte, c.bytes)
+			cl.putRoutes("seed-1", table)
+			got := 0
+			for range 300 {
+				interval.Sleep(cl.t.Context(), 10*time.Millisecond)
+				for _, r := range readers {
+					for len(r.updates) > 0 {
+						update := <-r.updates
+						if update.Routes == nil {
+							continue
+						}
+						got++
+						if !c.tells {
+							continue
+						}
+						for _, other := range readers {
+							if err := other.call.Send(message.RoutesInForce{Version: c.version}); err != nil {
+								t.Fatal(err)
+							}
+						}
+					}
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s: got the table %d times, want %d", c.name, got, c.want)
+			}
+		}
+	})
+}
