Send a relay that subscribes the routes that it lacks at once

Cause: a relay whose connections had timed out subscribed again and waited for the turns of control instances, though it had reached just one of them. Change: turns are for tables that come later. The case that is left, a relay whose link is full for seconds, is listed as known.

--- a/control/publisher.go
+++ b/control/publisher.go
@@ -53,6 +53,7 @@
 		// What the relay has been sent. Only run uses these.
 		delivery         roster.Delivery
 		routes           spread.Delivery
+		greeted          bool // it was sent the routes that it lacked when it subscribed, at once: it has lost its connections, or just started
 		controlAddresses []string
 		relayAddresses   []string
 	}
@@ -201,7 +202,12 @@
 	newRoutes := false
 	if !currentAt.IsZero() {
 		s.routes.Held = s.held.Load()
-		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), s.place(replica))
+		place := 0
+		if s.greeted {
+			place = s.place(replica)
+		}
+		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), place)
+		s.greeted = true
 	}
 	update := s.update(now, repeats)
 	if !newRoutes && wait == 0 {
