--- a/control/servers.go
+++ b/control/servers.go
@@ -164,8 +164,8 @@
 	t.relays[relay] = relayDemand{at: now, list: list}
 }
 
-// state sums up the demand for a service. Relays may know of a server sooner or later, so of their
-// counts the greatest is taken.
+// state sums up the demand for a service. Relays may know of a server sooner or later, so
+// of their counts the greatest is taken.
 func (t *demandTable) state(now time.Time, service string) replicas.State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/control/state.go
+++ b/control/state.go
@@ -91,9 +91,9 @@
 func (s *State) AddWatcher(w Watcher) { s.watchers = append(s.watchers, w) }
 
 // Apply implements quorum.StateMachine. Its result is a contract.Outcome, a
-// change.Outcome, an order.BeginResult, an order.FinishResult, a routes.Outcome,
-// a tenure.Tenure, a ledger.Outcome, nil for a command without a result, or an error for a command that can't be
-// decoded.
+// change.Outcome, an order.BeginResult, an order.FinishResult, a routes.Outcome, a
+// tenure.Tenure, a ledger.Outcome, nil for a command without a result, or an error for a
+// command that can't be decoded.
 func (s *State) Apply(index, term uint64, data []byte) any {
 	var c Command
 	if err := wire.Decode(data, &c); err != nil {
--- a/internal/duties/replicas/replicas.go
+++ b/internal/duties/replicas/replicas.go
@@ -1,9 +1,10 @@
 // Package replicas decides how many backend servers of a service run in each failure domain.
 //
-// The load that it answers: demand that rises within seconds, for which new servers are ready only
-// after the time that they take to start; demand that swings, for which servers must not come
-// and go; and a failure domain that is lost, whose share the others take. More servers are
-// ordered as soon as the demand needs them, fewer once it has not needed them for a while.
+// The load that it answers: demand that rises within seconds, for which new servers are
+// ready only after the time that they take to start; demand that swings, for which servers
+// must not come and go; and a failure domain that is lost, whose share the others take.
+// More servers are ordered as soon as the demand needs them, fewer once it has not needed
+// them for a while.
 package replicas
 
 import (
@@ -129,8 +130,8 @@
 // New returns a policy that knows nothing of the past.
 func New() *Policy { return &Policy{lastSeen: map[string]time.Time{}} }
 
-// Decide returns the orders that the state calls for at the time of day now, given those before. It is
-// called every second or so.
+// Decide returns the orders that the state calls for at the time of day now, given those
+// before. It is called every second or so.
 func (p *Policy) Decide(now time.Time, s State, before *Store) []Order {
 	if s.Bounds.Max <= 0 || s.Slots <= 0 || len(s.Domains) == 0 {
 		return nil
--- a/internal/duties/tenure/tenure.go
+++ b/internal/duties/tenure/tenure.go
@@ -1,13 +1,13 @@
 // Package tenure decides which instance makes the calls of a duty, so that there is one
 // holder at a time.
 //
-// The holder is the leader of a replicated log. It takes the duty by an entry, whose
-// index is its fencing token. It makes a call only within Timing.Freshness after a majority has
+// The holder is the leader of a replicated log. It takes the duty by an entry, whose index
+// is its fencing token. It makes a call only within Timing.Freshness after a majority has
 // confirmed that it leads, and gives the call up after Timing.CallTimeout; another
-// instance that has become leader waits Timing.Wait before it takes the duty over. So no call of a
-// holder arrives after one of its successor, and calls of a holder before and after the
-// tenure of another are further apart than Timing.Lease. docs/design/duties.md has the
-// reasons.
+// instance that has become leader waits Timing.Wait before it takes the duty over. So no
+// call of a holder arrives after one of its successor, and calls of a holder before and
+// after the tenure of another are further apart than Timing.Lease. docs/design/duties.md
+// has the reasons.
 package tenure
 
 import "time"
@@ -85,8 +85,9 @@
 	return latest == Tenure{} || latest.Holder == instance || led >= t.Wait()
 }
 
-// MayCall reports whether a holder may begin to send a call. The arguments are the times since it
-// asked a majority to confirm that it leads, by the steady clock and by the time of day.
+// MayCall reports whether a holder may begin to send a call. The arguments are the times
+// since it asked a majority to confirm that it leads, by the steady clock and by the time
+// of day.
 func (t Timing) MayCall(steady, timeOfDay time.Duration) bool {
 	return steady <= t.Freshness && (timeOfDay-steady).Abs() <= maxDrift
 }
--- a/internal/engines/speed/speed.go
+++ b/internal/engines/speed/speed.go
@@ -8,9 +8,10 @@
 // average for each engine, a stretch is either taken for what the engine is, long after it
 // has ended, or isn't noticed.
 //
-// A Model therefore keeps a low quantile over time, which neither such stretches nor queues
-// move, and beside it a deviation from that which is forgotten within a stretch's length. Differences within a dead band count as none, so that engines
-// that are alike are treated alike.
+// A Model therefore keeps a low quantile over time, which neither such stretches nor
+// queues move, and beside it a deviation from that which is forgotten within a stretch's
+// length. Differences within a dead band count as none, so that engines that are alike are
+// treated alike.
 //
 // The package performs no I/O, and callers pass in the current time.
 package speed
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// defaultRetryAfter is the Retry-After time for callers without a team. By then the prefill of late prompts
-	// ahead of the request has finished, and the caller still has most of its
-	// time left.
+	// defaultRetryAfter is the Retry-After time for callers without a team. By then the
+	// prefill of late prompts ahead of the request has finished, and the caller still has
+	// most of its time left.
 	defaultRetryAfter = 600 * time.Millisecond
 
 	// startupWait is how long a request may wait for the first routes. Callers give
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -35,8 +35,8 @@
 		Demand bool              `json:"demand"`                 // report the demand for services whose number of servers is ordered
 	}
 
-	// usageReporter counts the requests of teams that backend servers began and reports them, and the
-	// demand, to the control instances. A nil one does nothing.
+	// usageReporter counts the requests of teams that backend servers began and reports
+	// them, and the demand, to the control instances. A nil one does nothing.
 	usageReporter struct {
 		relay       *Relay
 		demand      bool // is reported
