--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -27,6 +27,7 @@
 	client struct {
 		deployment *deployment
 		http       *http.Client
+		onSend     func(id string, relay int) // called before each request is sent; may be nil
 
 		mu      sync.Mutex
 		answers map[string]answer
@@ -48,6 +49,9 @@
 // send sends one request and returns its answer.
 func (c *client) send(ctx context.Context, relay int, method, path string, header map[string]string, body string, budget time.Duration) answer {
 	a := answer{id: newID()}
+	if c.onSend != nil {
+		c.onSend(a.id, relay)
+	}
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, budget+2*time.Second)
 	defer cancel()
--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,8 @@
 		mu        sync.Mutex
 		processes map[string]*process // by name
 		version   uint64              // of the latest manifest
+		nodes     []int               // machines that serve control, as callers know them
+		diskless  map[int]bool        // machines without a disk
 	}
 
 	// process is one process of the project.
@@ -86,7 +89,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, relays: relays, controls: controls, slack: 60, record: rec, processes: map[string]*process{}}
+	d := &deployment{dir: dir, relays: relays, controls: controls, slack: 60, record: rec, processes: map[string]*process{}, diskless: map[int]bool{}}
+	for i := 1; i <= controls; i++ {
+		d.nodes = append(d.nodes, i)
+	}
 	for range 50 {
 		d.subnet = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
 		listener, err := net.Listen("tcp", d.address(1, frontPort))
@@ -106,11 +112,31 @@
 
 func (d *deployment) control(i int) string { return d.address(i, controlPort) }
 
-// settings returns the settings file of a process, as the users' pages show it.
+// controlNodes returns the machines that serve control, as callers know them.
+func (d *deployment) controlNodes() []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.nodes)
+}
+
+// setControlNodes changes what callers know.
+func (d *deployment) setControlNodes(nodes ...int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes = nodes
+}
+
+// writeSettings writes the settings file of a process and returns its path.
+func (d *deployment) writeSettings(role string, machine int, first bool) (string, error) {
+	path := filepath.Join(d.dir, processName(role, machine)+".conf")
+	return path, os.WriteFile(path, []byte(d.settingsFile(role, machine, first)), 0o600)
+}
+
+// settingsFile returns the settings file of a process, as the users' pages show it.
 func (d *deployment) settingsFile(role string, machine int, first bool) string {
 	var seeds []string
-	for i := 1; i <= min(d.controls, 3); i++ {
-		seeds = append(seeds, d.control(i))
+	for _, node := range d.controlNodes()[:3] {
+		seeds = append(seeds, d.control(node))
 	}
 	zone := fmt.Sprintf("zone-%d", (machine-1)%3+1)
 	lines := []string{
@@ -124,7 +150,7 @@
 		"internalPorts=7660,7675",
 		"seeds=" + strings.Join(seeds, ","),
 		fmt.Sprintf("bootstrap=%v", first),
-		"lossCounts=true",
+		fmt.Sprintf("lossCounts=%v", !d.diskless[machine]),
 		"limits.cpuShare=0.72", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", memoryMB), "limits.maxFds=4100",
 		"limits.linkMbps=1000.0", "limits.diskMb=64",
 		"discovery=registry", "entry=vip", "heartbeatMs=1200",
@@ -139,7 +165,10 @@
 	if role == "relay" {
 		lines = append(lines, "serves=edge", "listen.front="+d.front(machine), "listen.ready="+d.address(machine, readyPort))
 	} else {
-		lines = append(lines, "serves=control_plane", "listen.control="+d.control(machine), "dataDir="+filepath.Join(d.dir, "data-"+strconv.Itoa(machine)))
+		lines = append(lines, "serves=control_plane", "listen.control="+d.control(machine))
+		if !d.diskless[machine] {
+			lines = append(lines, "dataDir="+filepath.Join(d.dir, "data-"+strconv.Itoa(machine)))
+		}
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
@@ -164,8 +193,8 @@
 // startProcess starts a process, which must not run.
 func (d *deployment) startProcess(role string, machine int, first bool) error {
 	name := processName(role, machine)
-	settings := filepath.Join(d.dir, name+".conf")
-	if err := os.WriteFile(settings, []byte(d.settingsFile(role, machine, first)), 0o600); err != nil {
+	settings, err := d.writeSettings(role, machine, first)
+	if err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -289,7 +318,8 @@
 	}
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
-		to := d.control(i%d.controls + 1)
+		nodes := d.controlNodes()
+		to := d.control(nodes[i%len(nodes)])
 		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+to+"/-/config", strings.NewReader(string(body)))
 		if err != nil {
 			return err
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -16,7 +16,11 @@
 type caseFunc func(ctx context.Context, rec *record, trouble bool) (broken string, err error)
 
 var cases = map[string]caseFunc{
-	"parts": runParts,
+	"parts":     runParts,
+	"instances": runInstances,
+	"sizes":     runSizes,
+	"pause":     runPause,
+	"slashes":   runSlashes,
 }
 
 func main() {
--- a/review/harness-2/parts.go
+++ b/review/harness-2/parts.go
@@ -47,9 +47,6 @@
 	crowdParts    = 1700                  // of a prompt of the crowd; its header line has about 15 KB
 	crowdInterval = 10 * time.Millisecond // between two of its requests, at all relays together
 	crowdLength   = 75 * time.Second
-	readTimeout   = 1200 * time.Millisecond // of the route of the reads
-	readBudget    = 2500 * time.Millisecond // of a client that reads
-	answerSlack   = 500 * time.Millisecond  // after the route's timeout, by which an answer must have come
 )
 
 // runParts has callers send prompts that consist of very many parts, within all limits,
@@ -99,7 +96,7 @@
 	var running sync.WaitGroup
 	ctx, stop := context.WithTimeout(ctx, crowdLength)
 	defer stop()
-	crowd, readers := newClient(d), newClient(d)
+	crowd, readers := newClient(d), newReaders(d, rec)
 	var sent, served, refused, unanswered atomic.Int64
 	running.Add(2)
 	go func() {
@@ -120,39 +117,15 @@
 			}
 		})
 	}()
-	var reads, readsServed, late, overdue atomic.Int64
 	go func() {
 		defer running.Done()
-		every(ctx, 50*time.Millisecond, func(i int) {
-			reads.Add(1)
-			relay := i%d.relays + 1
-			a := readers.send(context.WithoutCancel(ctx), relay, http.MethodGet, "/read/1", nil, "", readBudget)
-			if a.status == http.StatusOK {
-				readsServed.Add(1)
-			}
-			if a.took > readTimeout {
-				late.Add(1)
-			}
-			if a.took > readTimeout+answerSlack {
-				overdue.Add(1)
-				rec.add("read %s at relay %d: status %d after %v: %v", a.id, relay, a.status, a.took, a.err)
-			}
-		})
+		every(ctx, 50*time.Millisecond, func(i int) { readers.read(context.WithoutCancel(ctx), i%d.relays+1) })
 	}()
 	for ctx.Err() == nil {
 		sleep(ctx, 5*time.Second)
-		var sizes []int
-		for relay := 1; relay <= d.relays; relay++ {
-			sizes = append(sizes, residentMB(d.process("relay", relay).cmd.Process.Pid))
-		}
-		rec.add("crowd: %d sent, %d served, %d refused, %d unanswered; reads: %d sent, %d served, %d unanswered at the timeout, %d half a second later; relays use %v MB",
-			sent.Load(), served.Load(), refused.Load(), unanswered.Load(), reads.Load(), readsServed.Load(), late.Load(), overdue.Load(), sizes)
+		rec.add("crowd: %d sent, %d served, %d refused, %d unanswered; %s; relays use %v MB",
+			sent.Load(), served.Load(), refused.Load(), unanswered.Load(), readers, d.relayMemory())
 	}
 	running.Wait()
-	l, o := late.Load(), overdue.Load()
-	rec.add("reads: %d sent, %d served, %d unanswered at the timeout of their route, %d of these half a second later", reads.Load(), readsServed.Load(), l, o)
-	if o >= 8 && 2*o > l {
-		return fmt.Sprintf("CONFIG: of %d reads that were unanswered at their route's timeoutMs, %d had no answer half a second later (of %d reads)", l, o, reads.Load()), nil
-	}
-	return "", nil
+	return readers.verdict(), nil
 }
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -100,8 +100,9 @@
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		if !w.silent.Load() {
-			for range w.deployment.controls {
-				if w.ping(ctx, client, node%w.deployment.controls+1, "ready") {
+			nodes := w.deployment.controlNodes()
+			for range nodes {
+				if w.ping(ctx, client, nodes[node%len(nodes)], "ready") {
 					break
 				}
 				node++
