--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/harness-2
-go build -o ../../target/review2 .
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review2 .
