--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -7,8 +7,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -34,9 +37,14 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, with the disruption: %v", os.Args[1], trouble)
-	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
+	signaled, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(signaled, 110*time.Second)
 	broken, err := cases[os.Args[1]](ctx, rec, trouble)
 	cancel()
+	if err == nil && signaled.Err() != nil {
+		err = errors.New("ended by a signal")
+	}
 	switch {
 	case err != nil:
 		rec.add("the case could not run: %v", err)
