--- a/review/harness-2/instances.go
+++ b/review/harness-2/instances.go
@@ -26,7 +26,7 @@
 		return "", err
 	}
 	for i := range 2 {
-		w, err := newWorker(d, i, "ledger", "decode", 6, func(w *worker, rw http.ResponseWriter, r *http.Request, _ []byte) {
+		w, err := newWorker(d, i, application, "decode", 6, func(w *worker, rw http.ResponseWriter, r *http.Request) {
 			w.whole(rw, r, 5*time.Millisecond, "the bank is planted")
 		})
 		if err != nil {
