Reject responses whose status is outside of 100 to 599

Callers saw: of a response with the status 000, whose body read like a response, the body as their answer (200, complete, on routes of each kind). Where 000 came without a body they got 504 at their deadline instead of a second server's answer. The statuses 600 and 999 were passed on. A sidecar took an engine's 000, 099 or 101 for a success, and refusals in the body of a 600 for true; operators' commands printed success for any status; the demo's client took 000, 099 and 101 of an order for done.

Cause: net/http accepts any three digits as a status. The relay skips every status below 200 as an interim response, and then reads the body as the next head. The other readers compare with an upper bound only.

Change: head.CheckStatus, with the range of RFC 9110, is called where a head has been read, before the status is given a meaning. The sidecar already refused 000 to 199 of an order service and still reports that it has run.

Interim responses, 299 and 599 are passed on as before.

--- a/command/operator.go
+++ b/command/operator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/message"
 )
 
@@ -68,6 +69,9 @@
 		return result, fault.New(fault.Unavailable, fault.MaybeRun, "%s: %v", address, err)
 	}
 	defer response.Body.Close()
+	if err := head.CheckStatus(response.StatusCode); err != nil {
+		return result, fault.New(fault.Broken, fault.MaybeRun, "%s: %v", address, err)
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return result, fault.New(fault.Broken, fault.MaybeRun, "%s: %v", address, err)
--- a/command/preview.go
+++ b/command/preview.go
@@ -18,6 +18,7 @@
 	"github.com/google/subcommands"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/message"
 	"endivedeck.example/placement"
 	"endivedeck.example/relay"
@@ -175,6 +176,9 @@
 		return response, fault.New(fault.Unavailable, fault.NotRun, "the relay can't be reached: %v", err)
 	}
 	defer answer.Body.Close()
+	if err := head.CheckStatus(answer.StatusCode); err != nil {
+		return response, fault.New(fault.Broken, fault.NotRun, "%s: %v", c.relay, err)
+	}
 	text, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes))
 	if err != nil {
 		return response, fault.New(fault.Broken, fault.NotRun, "%s: %v", c.relay, err)
--- a/demo/client.go
+++ b/demo/client.go
@@ -139,7 +139,7 @@
 		return "", err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return "", responseError(response)
 	}
 	text, err := io.ReadAll(response.Body)
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/message"
 )
 
@@ -289,10 +290,13 @@
 	if err != nil {
 		return nil, sendError(err)
 	}
-	if response.StatusCode < http.StatusMultipleChoices {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return response.Body, nil
 	}
 	defer response.Body.Close()
+	if err := head.CheckStatus(response.StatusCode); err != nil {
+		return nil, fault.New(fault.Broken, fault.MaybeRun, "the engine's response: %v", err)
+	}
 	var engineError fault.Error
 	data, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
 	if json.Unmarshal(data, &engineError) == nil && engineError.Kind != "" {
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
 	"endivedeck.example/order"
@@ -106,8 +107,8 @@
 		return order.Response{}, requestError(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode < http.StatusOK {
-		return order.Response{}, fault.New(fault.Broken, fault.HasRun, "the service responded with status %03d, want 200 or more", response.StatusCode)
+	if head.CheckStatus(response.StatusCode) != nil || response.StatusCode < http.StatusOK {
+		return order.Response{}, fault.New(fault.Broken, fault.HasRun, "the service responded with status %03d, want 200 to 599", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil || len(body) > maxResponseBytes {
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -75,7 +75,7 @@
 // caller must get an error, since writing such a status ends the connection without a
 // response.
 func TestStatusThatIsNone(t *testing.T) {
-	for _, status := range []string{"000", "099", "101"} {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/head"
 )
 
 const (
@@ -197,7 +198,13 @@
 	c.head.limited = true
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.head.limited = false
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	if err := head.CheckStatus(response.StatusCode); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // Read implements io.Reader for the response body. It returns io.EOF only at the
