Reject responses with a blank in a field name

Callers saw: a response in whose head a name held a blank, or a line began with a blank or tab, as a complete answer. Where that was the name of the length or of the encoding, the body was what came until the end of the connection, also the marks of chunks; a line that began with a blank was appended to the value before, as to the signature of the worker. Sidecars took such responses for done orders, answers of engines and healthy services, operators' commands and the calls of duties for success.

Cause: net/http accepts blanks in names and keeps these apart from the field of that name, and joins a line that begins with a blank or tab to the one before. It rejects control bytes and empty names, as did the relay.

Control bytes other than a leading tab were refused before; these cases are kept.

Change: connection.Conn has head.Checker check the bytes of each response head that its reader receives, interim ones too, before net/http parses them.

Unusual valid names, bare line feeds, responses without a length and interim responses are passed on.

--- a/command/broken_response_test.go
+++ b/command/broken_response_test.go
@@ -66,3 +66,14 @@
 		checkBroken(t, "status "+status, fmt.Sprintf("HTTP/1.1 %s Oops\r\nContent-Length: 2\r\n\r\n{}", status))
 	}
 }
+
+func TestInvalidFieldName(t *testing.T) {
+	for name, line := range map[string]string{
+		"blank in a name":      "A B: 1\r\nContent-Length: 2",
+		"blank after the name": "Content-Length : 2",
+		"blank before a name":  " Content-Length: 2",
+		"NUL in a name":        "A\x00B: 1\r\nContent-Length: 2",
+	} {
+		checkBroken(t, name, "HTTP/1.1 200 OK\r\nA: 1\r\n"+line+"\r\n\r\n{}")
+	}
+}
--- a/command/operator.go
+++ b/command/operator.go
@@ -64,7 +64,7 @@
 		return result, fault.New(fault.Malformed, fault.NotRun, "%v", err)
 	}
 	r.Header.Set("Authorization", "Bearer "+o.key)
-	response, err := http.DefaultClient.Do(r)
+	response, err := newClient().Do(r)
 	if err != nil {
 		return result, fault.New(fault.Unavailable, fault.MaybeRun, "%s: %v", address, err)
 	}
--- a/command/preview.go
+++ b/command/preview.go
@@ -171,7 +171,7 @@
 		return response, fault.New(fault.Malformed, fault.NotRun, "%v", err)
 	}
 	r.Header.Set("Authorization", "Bearer "+c.key)
-	answer, err := http.DefaultClient.Do(r)
+	answer, err := newClient().Do(r)
 	if err != nil {
 		return response, fault.New(fault.Unavailable, fault.NotRun, "the relay can't be reached: %v", err)
 	}
--- a/engine/broken_response_test.go
+++ b/engine/broken_response_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,38 +12,58 @@
 	"endivedeck.example/message"
 )
 
-// TestInvalidStatus has an engine respond with statuses of no successful response and with
-// the body of one. Neither a request nor an order may count as done then, and nothing in
-// the body may count as a refusal.
+// brokenCalls are calls with the bodies of successful responses and of a refusal.
+var brokenCalls = []struct {
+	name, body string
+	call       func(context.Context, engine.Engine) error
+}{
+	{"answer", `{"id":"one","offset":0,"tokens":1,"text":"a ","end":true,"reason":"stop"}` + "\n", generateOne},
+	{"order", "", func(ctx context.Context, e engine.Engine) error { return e.Order(ctx, engine.Order{FencingToken: 1}) }},
+	{"load report", `{"slots":4,"state":"serving"}`, func(ctx context.Context, e engine.Engine) error { _, err := e.State(ctx); return err }},
+	{"refusal", `{"kind":"overloaded","ran":"no","text":"full"}`, generateOne},
+}
+
+func generateOne(ctx context.Context, e engine.Engine) error {
+	return e.Generate(ctx, message.GenerateRequest{ID: "one", MaxTokens: 8}, func(message.Chunk) error { return nil })
+}
+
+// checkBroken has an engine send a head with each of the bodies. Neither a request nor an
+// order may count as done then, and nothing in the body may count as a refusal. In head,
+// LENGTH stands for the length of the body.
+func checkBroken(t *testing.T, name, head string) {
+	t.Helper()
+	for _, c := range brokenCalls {
+		s := newScriptedEngine(t, strings.ReplaceAll(head, "LENGTH", strconv.Itoa(len(c.body)))+"\r\n"+c.body+"<end>")
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		err := c.call(ctx, engine.NewLinesClient(s.listener.Addr().String()))
+		cancel()
+		if got, want := fault.KindOf(err), fault.Broken; got != want {
+			t.Errorf("%s, %s: got error %v, want kind %q", c.name, name, err, want)
+		} else if got, want := fault.FromError(err).Ran, fault.MaybeRun; got != want {
+			t.Errorf("%s, %s: got ran %s, want %s", c.name, name, got, want)
+		}
+	}
+}
+
+// TestInvalidStatus has an engine respond with statuses of no successful response.
 func TestInvalidStatus(t *testing.T) {
-	const (
-		answer  = `{"id":"one","offset":0,"tokens":1,"text":"a ","end":true,"reason":"stop"}` + "\n"
-		refusal = `{"kind":"overloaded","ran":"no","text":"full"}`
-	)
-	generate := func(ctx context.Context, e engine.Engine) error {
-		return e.Generate(ctx, message.GenerateRequest{ID: "one", MaxTokens: 8}, func(message.Chunk) error { return nil })
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		checkBroken(t, "status "+status, "HTTP/1.1 "+status+" Oops\r\nContent-Length: LENGTH\r\n")
 	}
-	order := func(ctx context.Context, e engine.Engine) error { return e.Order(ctx, engine.Order{FencingToken: 1}) }
-	state := func(ctx context.Context, e engine.Engine) error { _, err := e.State(ctx); return err }
-	for _, c := range []struct {
-		name, body string
-		call       func(context.Context, engine.Engine) error
-	}{
-		{"answer", answer, generate},
-		{"order", "", order},
-		{"load report", `{"slots":4,"state":"serving"}`, state},
-		{"refusal", refusal, generate},
+}
+
+// TestInvalidFieldName has an engine respond with heads in which the name of a field holds
+// a blank or a control byte.
+func TestInvalidFieldName(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nA: 1\r\n"
+	for name, line := range map[string]string{
+		"blank in a name":      "A B: 1\r\nContent-Length: LENGTH\r\n",
+		"blank after the name": "Content-Length : LENGTH\r\n",
+		"blank before a name":  " Content-Length: LENGTH\r\n",
+		"tab before a name":    "\tContent-Length: LENGTH\r\n",
+		"NUL in a name":        "A\x00B: 1\r\nContent-Length: LENGTH\r\n",
 	} {
-		for _, status := range []int{0, 99, 101, 600, 999} {
-			s := newScriptedEngine(t, fmt.Sprintf("HTTP/1.1 %03d Oops\r\nContent-Length: %d\r\n\r\n%s<end>", status, len(c.body), c.body))
-			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-			err := c.call(ctx, engine.NewLinesClient(s.listener.Addr().String()))
-			cancel()
-			if got, want := fault.KindOf(err), fault.Broken; got != want {
-				t.Errorf("%s, status %03d: got error %v, want kind %q", c.name, status, err, want)
-			} else if got, want := fault.FromError(err).Ran, fault.MaybeRun; got != want {
-				t.Errorf("%s, status %03d: got ran %s, want %s", c.name, status, got, want)
-			}
-		}
+		checkBroken(t, name, begin+line)
+		checkBroken(t, name+", after an interim response", "HTTP/1.1 102 Processing\r\n\r\n"+begin+line)
 	}
 }
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/connection"
 	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/message"
 )
@@ -105,9 +106,7 @@
 // one request only: responses bear no ID, so one that a faulty engine writes again
 // would be taken for the response to the next request.
 func NewLinesClient(address string) Engine {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
-	return &LinesClient{base: "http://" + address, httpClient: &http.Client{Transport: transport}}
+	return &LinesClient{base: "http://" + address, httpClient: &http.Client{Transport: connection.NewTransport(dialTimeout, maxHeadBytes)}}
 }
 
 // Generate implements Engine. A connection on which nothing arrives for
--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -53,3 +53,41 @@
 		{"valid: after an interim response", interim + statusResponse("200 OK", event(1))},
 	})
 }
+
+// TestInvalidFieldName has a server respond with heads in which the name of a field holds a
+// blank or a control byte. Callers must get nothing of such a response.
+func TestInvalidFieldName(t *testing.T) {
+	withLine := func(line string) string {
+		return strings.Replace(statusResponse("200 OK", event(1)), "Response-Signature", line+"\r\nResponse-Signature", 1)
+	}
+	const (
+		unframed  = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		chunks    = "f\r\nid: 1\ndata: e1\n\r\n1\r\n\n\r\n0\r\n\r\n"
+		processed = "HTTP/1.1 102 Processing\r\n"
+	)
+	responses := []namedResponse{
+		{"blank in a name", withLine("A B: 1")},
+		{"blank before the colon", withLine("A : 1")},
+		{"blank before the colon of the length", unframed + "Content-Length : 4\r\n\r\n" + event(1) + event(2) + "<cut>"},
+		{"blank before the colon of the encoding", unframed + "Transfer-Encoding : chunked\r\n\r\n" + chunks + "<cut>"},
+		{"blank as a name", withLine(" : 1")},
+		{"blank before a name", withLine(" A: 1")},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n A: 1\r\n" + strings.SplitAfterN(statusResponse("200 OK", event(1)), "\n", 2)[1]},
+		{"blank before a name, after the signature", unframed + "Response-Signature: s\r\n A: 1\r\nContent-Length: 16\r\n\r\n" + event(1)},
+		{"tab before a name, after the signature", unframed + "Response-Signature: s\r\n\tA: 1\r\nContent-Length: 16\r\n\r\n" + event(1)},
+		{"blank before the name of the length", unframed + "Response-Signature: s\r\n Content-Length: 4\r\n\r\n" + event(1) + event(2) + "<cut>"},
+		{"blank in a name of an interim response", processed + "A B: 1\r\n\r\n" + statusResponse("200 OK", event(1))},
+		{"blank in a name after an interim response", processed + "\r\n" + withLine("A B: 1")},
+		{"empty name", withLine(": 1")},
+		{"line without a colon", withLine("A")},
+		{"line of a blank", withLine(" ")},
+		{"valid: unusual names and values", withLine("!#$%&'*+-.^_`|~09: \t1 \x80\t\r\nA:\r\nB:1:2")},
+		{"valid: lines end with a line feed only", strings.ReplaceAll(statusResponse("200 OK", event(1)), "\r\n", "\n")},
+		{"valid: no length", unframed + "\r\n" + event(1) + "<cut>"},
+		{"valid: interim responses", processed + "A: 1\r\n\r\n" + processed + "\r\n" + statusResponse("200 OK", event(1))},
+	}
+	for _, b := range []byte{0, 1, '\t', '\v', '\r', 0x1b, 0x7f, 0x80} {
+		responses = append(responses, namedResponse{fmt.Sprintf("byte 0x%02x in a name", b), withLine("A" + string([]byte{b}) + "B: 1")})
+	}
+	checkResponses(t, "invalid_field_name.golden", responses)
+}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/connection"
 	"endivedeck.example/internal/responses/head"
 	"endivedeck.example/kernel"
 	"endivedeck.example/message"
@@ -61,9 +62,8 @@
 // the response to the next request. Besides, net/http by itself resends a request with
 // an Idempotency-Key when a reused connection breaks.
 func newServiceClient() *http.Client {
-	dialer := &net.Dialer{Timeout: serviceDialTimeout}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+		Transport:     connection.NewTransport(serviceDialTimeout, maxHeadBytes),
 		CheckRedirect: dontFollowRedirect,
 	}
 }
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -216,3 +216,47 @@
 		}
 	}
 }
+
+// TestInvalidFieldName has a service respond with heads in which the name of a field holds
+// a blank or a control byte. No order may count as done by such a response, and no service
+// as healthy.
+func TestInvalidFieldName(t *testing.T) {
+	for name, line := range map[string]string{
+		"blank in a name":           "A B: 1\r\nContent-Length: 4",
+		"blank after the name":      "Content-Length : 2",
+		"blank before a name":       " Content-Length: 2",
+		"tab before a name":         "\tContent-Length: 2",
+		"blank in the encoding":     "Transfer-Encoding : chunked",
+		"NUL in a name":             "A\x00B: 1\r\nContent-Length: 4",
+		"no colon":                  "A\r\nContent-Length: 4",
+		"blank, after interim":      "\r\nHTTP/1.1 200 OK\r\nA B: 1\r\nContent-Length: 4",
+		"blank in an interim field": "A B: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4",
+	} {
+		status := "200 OK"
+		if strings.Contains(line, "HTTP/") {
+			status = "102 Processing"
+		}
+		response := "HTTP/1.1 " + status + "\r\nA: 1\r\n" + line + "\r\n\r\ndone"
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		s := &cutService{listener: listener, response: response}
+		s.length.Store(int64(len(response)))
+		go s.run()
+		service := newHTTPService(ServiceSettings{Address: listener.Addr().String(), HealthPath: "/health"})
+		got, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7, IdempotencyKey: "k"})
+		if got, want := fault.KindOf(err), fault.Broken; got != want {
+			t.Errorf("%s: got error %v, want kind %q", name, err, want)
+		} else if got, want := fault.FromError(err).Ran, fault.MaybeRun; got != want {
+			t.Errorf("%s: got ran %s, want %s", name, got, want)
+		}
+		if err == nil {
+			t.Errorf("%s: got the response %+v", name, got)
+		}
+		if err := service.Healthy(t.Context()); err == nil {
+			t.Errorf("%s: got a healthy service, want an error", name)
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"endivedeck.example/internal/responses/connection"
 )
 
 const (
@@ -23,45 +23,22 @@
 	pool      *Pool
 	address   string
 	netConn   net.Conn
-	head      *headLimiter
-	reader    *bufio.Reader // reads from head
+	checked   *connection.Conn // uses netConn
+	reader    *bufio.Reader    // reads from checked
 	writer    *bufio.Writer
 	reused    bool      // the connection has carried an earlier request
 	expires   time.Time // end of the idle timeout; set when the connection becomes idle
 	closeOnce sync.Once
 }
 
-// headLimiter limits how much is read while a response header is expected. A
-// faulty server may send a header without end.
-type headLimiter struct {
-	reader  io.Reader
-	limited bool
-	left    int // bytes that may still be read if limited
-}
-
-var errHeaderTooLarge = errors.New("the response header is too large")
-
-// Read implements io.Reader.
-func (h *headLimiter) Read(p []byte) (int, error) {
-	if !h.limited {
-		return h.reader.Read(p)
-	}
-	if h.left <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := h.reader.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
-
 func newConn(p *Pool, address string, netConn net.Conn) *conn {
-	head := &headLimiter{reader: netConn}
+	checked := connection.New(netConn)
 	return &conn{
 		pool:    p,
 		address: address,
 		netConn: netConn,
-		head:    head,
-		reader:  bufio.NewReaderSize(head, readBufferBytes),
+		checked: checked,
+		reader:  bufio.NewReaderSize(checked, readBufferBytes),
 		writer:  bufio.NewWriterSize(netConn, writeBufferBytes),
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -194,10 +194,14 @@
 
 // readHeader reads one response header of at most about maxHeaderBytes.
 func (c *conn) readHeader(method string) (*http.Response, error) {
-	c.head.left = maxHeaderBytes
-	c.head.limited = true
+	received, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checked.ExpectHead(received, maxHeaderBytes); err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	c.head.limited = false
 	if err != nil {
 		return nil, err
 	}
