Report a reset that a write has noticed to the reader of the response

Callers saw: the part of a response without a length that a server had sent when it reset the connection during the upload, as a complete answer. An order service that did so had its order recorded as done; operators' commands reported success.

Cause: the kernel reports a reset once. If the write of the request gets it, later reads return the end of the stream, as after an orderly close. The relay's client ignores errors of the write, since early responses are valid, and net/http loses the race between its two goroutines in the same way.

Change: connection.Conn remembers that a write was reset, and its Read then fails in place of returning io.EOF. At the end of the stream it ends a write that still waits, whose request can't change the response any more, so the result of the write is known. A peer that has ended its response in an orderly way before makes the write fail with EPIPE, not with ECONNRESET: that response stays complete.

--- a/command/broken_response_test.go
+++ b/command/broken_response_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/earlyserver"
 )
 
 // scriptedProcess is a process of the system that responds to one request with a text and
@@ -77,3 +79,21 @@
 		checkBroken(t, name, "HTTP/1.1 200 OK\r\nA: 1\r\n"+line+"\r\n\r\n{}")
 	}
 }
+
+// TestResetDuringUpload has a control instance respond to a long contract before it has
+// read it, without a length, and reset the connection.
+func TestResetDuringUpload(t *testing.T) {
+	const uploads = 40 // whether the reset is noticed by a read or a write varies
+	s := earlyserver.New(t, "HTTP/1.1 200 OK\r\n\r\n{}", earlyserver.Reset)
+	s.Pause = 5 * time.Millisecond // for the client to read the head
+	s.Release()
+	o := &operatorClient{addresses: s.Address()}
+	for range uploads {
+		_, err := o.send(t.Context(), http.MethodPut, "/contract", nil, make([]byte, 16<<20))
+		if err == nil {
+			t.Error("got success, want an error")
+		} else if got, want := fault.FromError(err).Ran, fault.MaybeRun; got != want {
+			t.Errorf("got ran %s, want %s", got, want)
+		}
+	}
+}
--- a/internal/responses/connection/connection.go
+++ b/internal/responses/connection/connection.go
@@ -5,23 +5,33 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"endivedeck.example/internal/responses/head"
 )
 
-var errHeadTooLarge = errors.New("the response head is too large")
+var (
+	errHeadTooLarge = errors.New("the response head is too large")
+	past            = time.Unix(1, 0) // deadline that has passed
+)
 
 type (
 	// Conn is a connection that carries one request at a time. ExpectHead must be called
 	// before a response is read, so that Read fails if its head is invalid or too large.
-	// Create it with New.
+	// Read returns io.EOF only if the peer has closed the connection in an orderly way. One
+	// goroutine may read while another one writes. Create it with New.
 	Conn struct {
 		net.Conn
 		checker  head.Checker
 		headLeft int // bytes that may still be read of the head
+
+		writing chan struct{} // holds a value during a write
+		reset   bool          // a write has failed since the peer reset the connection; guarded by writing
 	}
 
 	// dialer opens connections for a single request.
@@ -32,7 +42,7 @@
 )
 
 // New returns a Conn that uses c.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+func New(c net.Conn) *Conn { return &Conn{Conn: c, writing: make(chan struct{}, 1)} }
 
 // NewTransport returns a transport that uses each connection for one request. dialTimeout
 // limits the time to connect. The head of a response, with those of its interim responses,
@@ -68,15 +78,49 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.checker.Done() {
-		return c.Conn.Read(p)
+		return c.read(p)
 	}
 	if c.headLeft <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	n, err := c.read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
 	if headErr := c.checker.Feed(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
 }
+
+// read reads without checks of the head.
+func (c *Conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns the error for the end of what can be read: io.EOF, or an error if the
+// connection was reset. The kernel reports a reset once, to a read or to a write, and the
+// end of the stream to reads after that. It is no reset for writes if the peer has closed
+// the connection before.
+func (c *Conn) endError() error {
+	// Ends a write that waits for the peer, since no response to it is expected any more.
+	// An error means that the connection has been closed, which ends it too.
+	_ = c.SetWriteDeadline(past)
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	if c.reset {
+		return fmt.Errorf("reading the response: %w", syscall.ECONNRESET)
+	}
+	return io.EOF
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	n, err := c.Conn.Write(p)
+	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
 	"endivedeck.example/golden"
+	"endivedeck.example/internal/responses/earlyserver"
 	"endivedeck.example/routes"
 )
 
@@ -91,3 +93,41 @@
 	}
 	checkResponses(t, "invalid_field_name.golden", responses)
 }
+
+// TestResetDuringUpload has a server respond to long uploads before it has read them. A
+// response without a length that ends with a reset must not reach callers as a whole one.
+func TestResetDuringUpload(t *testing.T) {
+	const uploads = 40 // for each case; whether the reset is noticed by a read or a write varies
+	kinds := []routes.Kind{routes.Idempotent, routes.AtMostOnce, routes.Stream}
+	unframed := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n\r\n" + event(1)
+	whole := fmt.Sprintf("200 Response-Signature=s %q complete", event(1))
+	cut := fmt.Sprintf("200 Response-Signature=s %q truncated", event(1))
+	const broken = `502 "broken\n" complete`
+	for _, c := range []struct {
+		name, response string
+		end            earlyserver.End
+		kinds          []routes.Kind
+		want           []string
+	}{
+		{"no length, reset", unframed, earlyserver.Reset, kinds[:2], []string{broken}},
+		{"no length, reset", unframed, earlyserver.Reset, kinds[2:], []string{broken, cut}}, // events are forwarded as they arrive
+		{"no length, request read after the end", unframed, earlyserver.CloseRead, kinds, []string{whole}},
+		{"no length, request read before the end", unframed, earlyserver.ReadClose, kinds, []string{whole}},
+		{"length, request read", statusResponse("200 OK", event(1)), earlyserver.ReadClose, kinds, []string{whole}},
+	} {
+		for _, kind := range c.kinds {
+			early := earlyserver.New(t, c.response, c.end)
+			early.Release()
+			b := newTestbed(t, oneRoute(kind, 1, false), &backendServer{name: "one", address: early.Address()})
+			counts := map[string]int{}
+			for range uploads {
+				counts[b.send(http.MethodPost, "/a/x", "", strings.Repeat("x", 1<<20))]++
+			}
+			for got, n := range counts {
+				if !slices.Contains(c.want, got) {
+					t.Errorf("%s, %v: got %d of %d times %s, want one of %q", c.name, kind, n, uploads, got, c.want)
+				}
+			}
+		}
+	}
+}
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -67,6 +67,7 @@
 		crashAt  int    // whole events before the one within which the server ends
 		flood    []byte // written in place of a response; then the server waits until the client disconnects
 		stray    string // written before each response but the first on a connection
+		address  string // announced in place of that of the listener
 		release  chan struct{}
 		listener net.Listener
 
@@ -96,7 +97,7 @@
 	for _, s := range servers {
 		s.start(t)
 		b.update.Servers = append(b.update.Servers, roster.Observation{Server: roster.Server{
-			ID: s.name, Service: cmp.Or(s.service, "assist"), Address: s.listener.Addr().String(), StartedAt: 1, Seq: 1, Slots: 8, Stage: s.stage, Domain: s.domain,
+			ID: s.name, Service: cmp.Or(s.service, "assist"), Address: cmp.Or(s.address, s.listener.Addr().String()), StartedAt: 1, Seq: 1, Slots: 8, Stage: s.stage, Domain: s.domain,
 		}})
 	}
 	b.network = memory.NewNetwork()
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -9,8 +9,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/earlyserver"
 	"endivedeck.example/message"
 )
 
@@ -260,3 +262,37 @@
 		}
 	}
 }
+
+// TestResetDuringUpload has a service respond to long orders before it has read them. No
+// order may count as done by a response without a length that ends with a reset.
+func TestResetDuringUpload(t *testing.T) {
+	const uploads = 40 // for each case; whether the reset is noticed by a read or a write varies
+	for _, c := range []struct {
+		name, response string
+		end            earlyserver.End
+		wantDone       int
+	}{
+		{"no length, reset", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.Reset, 0},
+		{"no length, order read after the end", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.CloseRead, uploads},
+		{"no length, order read before the end", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.ReadClose, uploads},
+		{"length, order read", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", earlyserver.ReadClose, uploads},
+	} {
+		s := earlyserver.New(t, c.response, c.end)
+		s.Pause = 5 * time.Millisecond // for the client to read the head
+		s.Release()
+		service := newHTTPService(ServiceSettings{Address: s.Address()})
+		done := 0
+		for range uploads {
+			response, err := service.Call(t.Context(), message.ServiceCall{Method: http.MethodPost, Path: "/", BeginIndex: 7, IdempotencyKey: "k", Body: make([]byte, 16<<20)})
+			switch {
+			case err == nil && string(response.Body) == "part":
+				done++
+			case fault.KindOf(err) != fault.Broken || fault.FromError(err).Ran != fault.MaybeRun:
+				t.Errorf("%s: got %+v and error %v, want kind %q and ran %s", c.name, response, err, fault.Broken, fault.MaybeRun)
+			}
+		}
+		if got, want := done, c.wantDone; got != want {
+			t.Errorf("%s: got %d of %d orders done, want %d", c.name, got, uploads, want)
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,7 +39,7 @@
 		netConn: netConn,
 		checked: checked,
 		reader:  bufio.NewReaderSize(checked, readBufferBytes),
-		writer:  bufio.NewWriterSize(netConn, writeBufferBytes),
+		writer:  bufio.NewWriterSize(checked, writeBufferBytes),
 	}
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -213,7 +213,8 @@
 
 // Read implements io.Reader for the response body. It returns io.EOF only at the
 // end of the body that the framing (Content-Length or chunked encoding) gives.
-// A body without framing ends where the server closes the connection.
+// A body without framing ends where the server closes the connection; if the connection
+// is reset, it is truncated.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if err == io.EOF {
@@ -223,7 +224,7 @@
 }
 
 // Framed reports whether the framing gives the end of the body. A body without framing
-// ends with the connection, also if the server broke off.
+// ends with the connection, also if the server broke off and closed it in an orderly way.
 func (r *Response) Framed() bool {
 	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
 }
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 const (
@@ -48,8 +49,9 @@
 	return n, nil
 }
 
-func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
-func (c *endlessConn) Close() error                { return nil }
+func (c *endlessConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *endlessConn) Close() error                     { return nil }
+func (c *endlessConn) SetWriteDeadline(time.Time) error { return nil }
 
 // FuzzEndlessResponse reads a response from a server that sends bytes without end. Only
 // a limited number may be read until there is a response or an error, and for a body
