Read the engine's response to an import to its end

Callers saw: an import of KV cache counted as done when the engine had answered at once, with no length, and reset the connection during the upload. A refusal in such a response counted as true: not run.

Cause: the body of the response to an import wasn't read, and the error of reading a refusal was dropped.

Change: Import reads the response to its end; an error of either read is a broken connection, after which the call may have run.

--- a/engine/broken_response_test.go
+++ b/engine/broken_response_test.go
@@ -9,6 +9,7 @@
 
 	"endivedeck.example/engine"
 	"endivedeck.example/fault"
+	"endivedeck.example/internal/responses/earlyserver"
 	"endivedeck.example/message"
 )
 
@@ -67,3 +68,39 @@
 		checkBroken(t, name+", after an interim response", "HTTP/1.1 102 Processing\r\n\r\n"+begin+line)
 	}
 }
+
+// TestResetDuringUpload has an engine respond to long uploads before it has read them. No
+// import may count as done, and no request as refused, by a response without a length that
+// ends with a reset.
+func TestResetDuringUpload(t *testing.T) {
+	const (
+		uploads = 40 // for each case; whether the reset is noticed by a read or a write varies
+		done    = "HTTP/1.1 200 OK\r\n\r\n{}"
+		refused = "HTTP/1.1 503 Full\r\n\r\n" + `{"kind":"overloaded","ran":"no","text":"full"}`
+	)
+	for _, c := range []struct {
+		name, response string
+		end            earlyserver.End
+		want           fault.Kind
+		wantRan        fault.Ran
+	}{
+		{"done, reset", done, earlyserver.Reset, fault.Broken, fault.MaybeRun},
+		{"refused, reset", refused, earlyserver.Reset, fault.Broken, fault.MaybeRun},
+		{"done, upload read after the end", done, earlyserver.CloseRead, "", ""},
+		{"done, upload read before the end", done, earlyserver.ReadClose, "", ""},
+		{"refused, upload read", refused, earlyserver.ReadClose, fault.Overloaded, fault.NotRun},
+	} {
+		s := earlyserver.New(t, c.response, c.end)
+		s.Pause = 5 * time.Millisecond // for the client to read the head
+		s.Release()
+		e := engine.NewLinesClient(s.Address()).(engine.CacheTransfer)
+		for range uploads {
+			err := e.Import(t.Context(), make([]byte, 16<<20))
+			if got := fault.KindOf(err); got != c.want {
+				t.Errorf("%s: got error %v, want kind %q", c.name, err, c.want)
+			} else if err != nil && fault.FromError(err).Ran != c.wantRan {
+				t.Errorf("%s: got ran %s, want %s", c.name, fault.FromError(err).Ran, c.wantRan)
+			}
+		}
+	}
+}
--- a/engine/lines.go
+++ b/engine/lines.go
@@ -247,7 +247,12 @@
 	if err != nil {
 		return err
 	}
-	return body.Close()
+	defer body.Close()
+	// The engine may respond before it has received all of the cache.
+	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxLineBytes)); err != nil {
+		return fault.EngineEnd("importing KV cache: %v", err)
+	}
+	return nil
 }
 
 // get decodes the response to a GET request, of at most maxBytes.
@@ -297,7 +302,10 @@
 		return nil, fault.New(fault.Broken, fault.MaybeRun, "the engine's response: %v", err)
 	}
 	var engineError fault.Error
-	data, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	if err != nil {
+		return nil, fault.EngineEnd("reading the engine's response with status %s: %v", response.Status, err)
+	}
 	if json.Unmarshal(data, &engineError) == nil && engineError.Kind != "" {
 		if engineError.Ran == "" {
 			engineError.Ran = fault.MaybeRun
