--- a/internal/responses/connection/connection.go
+++ b/internal/responses/connection/connection.go
@@ -101,9 +101,9 @@
 }
 
 // endError returns the error for the end of what can be read: io.EOF, or an error if the
-// connection was reset. The kernel reports a reset once, to a read or to a write, and the
-// end of the stream to reads after that. It is no reset for writes if the peer has closed
-// the connection before.
+// connection was reset. Linux reports a reset once, to a read or to a write, and the end of
+// the stream to reads after that. If the peer has ended its side before, a write fails with
+// EPIPE in place of ECONNRESET, and what was read is complete.
 func (c *Conn) endError() error {
 	// Ends a write that waits for the peer, since no response to it is expected any more.
 	// An error means that the connection has been closed, which ends it too.
--- a/internal/responses/earlyserver/earlyserver.go
+++ b/internal/responses/earlyserver/earlyserver.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// readBufferBytes of a socket whose body isn't read is small, so that a long body isn't written
-// in full.
+// readBufferBytes of a server that doesn't read the body is small, so that a client can't
+// write a long one in full.
 const readBufferBytes = 4 << 10
 
 // Ways to end a connection.
--- a/internal/responses/head/head.go
+++ b/internal/responses/head/head.go
@@ -92,15 +92,13 @@
 		c.part = inFieldValue
 	case isTokenByte(b) && c.part != atLineFeed:
 		c.part = inFieldName
-	default:
-		// Also at the beginning of a line: net/http takes a line that begins with a
-		// blank for the rest of the value before.
+	default: // also a blank at the beginning of a line, which net/http joins to the line before
 		return fmt.Errorf("invalid byte 0x%02x in a field name of the response", b)
 	}
 	return nil
 }
 
-// endHead expects another head if that of an interim response has ended.
+// endHead begins with another head if that of an interim response has ended.
 func (c *Checker) endHead() {
 	c.part = afterLastHead
 	if isInterim(string(c.statusLine)) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -194,6 +194,8 @@
 
 // readHeader reads one response header of at most about maxHeaderBytes.
 func (c *conn) readHeader(method string) (*http.Response, error) {
+	// After an interim response or one to another request, the buffer may hold a part of
+	// the header.
 	received, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return nil, err
