relay: the server of TestResetDuringUpload announces that it closes

Traced beside six busy processes, 12 runs: each of the two further failures was a request on a kept connection (reused, request written) that was reset before a response. The stand-in closes each connection after its first response, and its response with a length didn't say so; a server that means to close sends Connection: close. The check and the count are unchanged: all 40 of each kind must be whole.

--- a/internal/responses/earlyserver/earlyserver.go
+++ b/internal/responses/earlyserver/earlyserver.go
@@ -41,7 +41,8 @@
 )
 
 // New returns a running server that sends the text of a response as soon as it has read
-// the head of a request. It ends each connection once Release has been called.
+// the head of a request. It ends each connection once Release has been called, so a
+// response with a length must have "Connection: close" if the client keeps connections.
 func New(t testing.TB, response string, end End) *Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -100,6 +100,7 @@
 	const uploads = 40 // for each case; whether the reset is noticed by a read or a write varies
 	kinds := []routes.Kind{routes.Idempotent, routes.AtMostOnce, routes.Stream}
 	unframed := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n\r\n" + event(1)
+	framed := strings.Replace(statusResponse("200 OK", event(1)), "\r\n", "\r\nConnection: close\r\n", 1) // the server closes each connection
 	whole := fmt.Sprintf("200 Response-Signature=s %q complete", event(1))
 	cut := fmt.Sprintf("200 Response-Signature=s %q truncated", event(1))
 	const broken = `502 "broken\n" complete`
@@ -113,7 +114,7 @@
 		{"no length, reset", unframed, earlyserver.Reset, kinds[2:], []string{broken, cut}}, // events are forwarded as they arrive
 		{"no length, request read after the end", unframed, earlyserver.CloseRead, kinds, []string{whole}},
 		{"no length, request read before the end", unframed, earlyserver.ReadClose, kinds, []string{whole}},
-		{"length, request read", statusResponse("200 OK", event(1)), earlyserver.ReadClose, kinds, []string{whole}},
+		{"length, request read", framed, earlyserver.ReadClose, kinds, []string{whole}},
 	} {
 		for _, kind := range c.kinds {
 			early := earlyserver.New(t, c.response, c.end)
