relay: testbeds end their workers, and may have kept connections

TestResponsesWithoutEndAreNotAllKept failed once, in a run of three rounds of it and of new tests that start many testbeds: 134,349,120 bytes in use, want at most 134,217,728. Traced: each testbed left its 256 workers behind, some 160 KB; after three rounds of 69 testbeds 53,506 goroutines and 34 MB were there before the test began, and it measured 106,286,720 bytes where it has 72,757,688 alone.

Change: a testbed stops its workers at its end. The bound and the check are as they were. A stand-in may now answer the first request on a connection apart from its script, for tests of the second one.

--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -68,6 +68,7 @@
 		flood    []byte // written in place of a response; then the server waits until the client disconnects
 		stray    string // written before each response but the first on a connection
 		address  string // announced in place of that of the listener
+		kept     string // response to the first request on each connection; the script is for later ones
 		release  chan struct{}
 		listener net.Listener
 
@@ -92,6 +93,7 @@
 func newTestbedFor(t *testing.T, service routes.Service, list []routes.Route, servers ...*backendServer) *testbed {
 	t.Helper()
 	b := &testbed{t: t, servers: servers, usage: map[string]uint64{}, workers: pool.New(testbedWorkers, testbedWorkers)}
+	t.Cleanup(b.stopWorkers)
 	b.update.Routes = &routes.Table{Version: 5, Services: []routes.Service{service, {Name: "small"}}, Routes: list, Limits: routes.Limits{MaxBodyBytes: 1 << 20}}
 	b.update.RelayAddresses = []string{"relay", "second"}
 	for _, s := range servers {
@@ -113,6 +115,14 @@
 	return b
 }
 
+// stopWorkers ends the workers, those that run a task once that has ended. Otherwise the
+// workers of all testbeds before would count in tests that measure memory.
+func (b *testbed) stopWorkers() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = b.workers.Stop(ctx) // the error means that a task still runs
+}
+
 // startRelay starts a relay in a failure domain and waits until it has received
 // the backend servers.
 func (b *testbed) startRelay(name, domain string) *relay.Relay {
@@ -318,6 +328,7 @@
 func (s *backendServer) loop(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
+	first := true
 	for stray := ""; ; stray = s.stray {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -326,6 +337,13 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
+		if first && s.kept != "" {
+			if _, err := io.WriteString(c, s.kept); err != nil {
+				return
+			}
+			first = false
+			continue
+		}
 		step := s.nextStep(r)
 		if s.flood != nil {
 			if _, err := c.Write(s.flood); err == nil {
