--- a/command/broken_response_test.go
+++ b/command/broken_response_test.go
@@ -83,9 +83,8 @@
 // TestResetDuringUpload has a control instance respond to a long contract before it has
 // read it, without a length, and reset the connection.
 func TestResetDuringUpload(t *testing.T) {
-	const uploads = 40 // whether the reset is noticed by a read or a write varies
-	s := earlyserver.New(t, "HTTP/1.1 200 OK\r\n\r\n{}", earlyserver.Reset)
-	s.Pause = 5 * time.Millisecond // for the client to read the head
+	const uploads = 40                                                                                                                       // whether the reset is noticed by a read or a write varies
+	s := earlyserver.New(t, earlyserver.Options{Response: "HTTP/1.1 200 OK\r\n\r\n{}", End: earlyserver.Reset, Pause: 5 * time.Millisecond}) // for the client to read the head
 	s.Release()
 	o := &operatorClient{addresses: s.Address()}
 	for range uploads {
--- a/engine/broken_response_test.go
+++ b/engine/broken_response_test.go
@@ -90,8 +90,7 @@
 		{"done, upload read before the end", done, earlyserver.ReadClose, "", ""},
 		{"refused, upload read", refused, earlyserver.ReadClose, fault.Overloaded, fault.NotRun},
 	} {
-		s := earlyserver.New(t, c.response, c.end)
-		s.Pause = 5 * time.Millisecond // for the client to read the head
+		s := earlyserver.New(t, earlyserver.Options{Response: c.response, End: c.end, Pause: 5 * time.Millisecond}) // for the client to read the head
 		s.Release()
 		e := engine.NewLinesClient(s.Address()).(engine.CacheTransfer)
 		for range uploads {
--- a/internal/responses/connection/connection_test.go
+++ b/internal/responses/connection/connection_test.go
@@ -49,7 +49,7 @@
 		{"end of the response, request read", earlyserver.ReadClose, true, nil, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := earlyserver.New(t, responseText, c.end)
+			s := earlyserver.New(t, earlyserver.Options{Response: responseText, End: c.end})
 			netConn, err := net.Dial("tcp", s.Address())
 			if err != nil {
 				t.Fatal(err)
--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -117,7 +117,7 @@
 		{"length, request read", framed, earlyserver.ReadClose, kinds, []string{whole}},
 	} {
 		for _, kind := range c.kinds {
-			early := earlyserver.New(t, c.response, c.end)
+			early := earlyserver.New(t, earlyserver.Options{Response: c.response, End: c.end})
 			early.Release()
 			b := newTestbed(t, oneRoute(kind, 1, false), &backendServer{name: "one", address: early.Address()})
 			counts := map[string]int{}
@@ -132,3 +132,74 @@
 		}
 	}
 }
+
+// TestUploadEndsAtOtherMoments has a server end a connection at other moments of a long
+// upload, and with other responses. Only a response that is whole by its framing, or by an
+// orderly end, may reach callers as a whole one.
+func TestUploadEndsAtOtherMoments(t *testing.T) {
+	const (
+		uploads  = 10 // of each kind, for each case
+		broken   = `502 "broken\n" complete`
+		refused  = `503 Retry-After=0.6 "overloaded\n" complete`
+		paused   = `503 Retry-After=0.6 "unavailable\n" complete` // not sent, after refusals
+		id       = "Request-Id: r1\r\nResponse-Signature: s\r\n"
+		ok       = "HTTP/1.1 200 OK\r\n" + id
+		failed   = "HTTP/1.1 500 Failed\r\n" + id
+		noRun    = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + id
+		maybeRun = "HTTP/1.1 503 Full\r\n" + id
+		interim  = "HTTP/1.1 102 Processing\r\n\r\n"
+		size     = "Content-Length: 16\r\nConnection: close\r\n\r\n"
+		longer   = "Content-Length: 99\r\n\r\n"
+		chunked  = "Transfer-Encoding: chunked\r\n\r\n"
+		noSize   = "\r\n"
+	)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event(1)), event(1))
+	whole := fmt.Sprintf("200 Response-Signature=s %q complete", event(1))
+	failure := fmt.Sprintf("500 Response-Signature=s %q complete", event(1))
+	cut := fmt.Sprintf("200 Response-Signature=s %q truncated", event(1))
+	for _, c := range []struct {
+		name, response string
+		end            earlyserver.End
+		want           string
+		wantStream     string // also allowed for streams; empty for none
+	}{
+		{"reset before the head", "", earlyserver.Reset, broken, ""},
+		{"reset within the head", ok[:25], earlyserver.Reset, broken, ""},
+		{"reset after an interim response", interim, earlyserver.Reset, broken, ""},
+		{"reset after the head, no length", ok + noSize, earlyserver.Reset, broken, ""},
+		{"reset within the body, no length, after an interim response", interim + ok + noSize + event(1), earlyserver.Reset, broken, cut},
+		{"reset within the body", ok + longer + event(1), earlyserver.Reset, broken, cut},
+		{"reset within chunks", ok + chunked + chunk, earlyserver.Reset, broken, cut},
+		{"reset after the upload, no length", ok + noSize + event(1), earlyserver.ReadReset, broken, cut},
+		{"reset after the upload, within the body", ok + longer + event(1), earlyserver.ReadReset, broken, cut},
+		{"reset, failure without a length", failed + noSize + event(1), earlyserver.Reset, broken, ""},
+		{"reset, 503 without a length that may have run", maybeRun + noSize + event(1), earlyserver.Reset, broken, ""},
+		{"reset, refusal without a length", noRun + noSize + event(1), earlyserver.Reset, refused, ""},
+		{"reset, refusal", noRun + size + event(1), earlyserver.Reset, refused, ""},
+		{"close within the head", ok[:25], earlyserver.ReadClose, broken, ""},
+		{"close within the body", ok + longer + event(1), earlyserver.ReadClose, broken, cut},
+		{"close within chunks", ok + chunked + chunk, earlyserver.CloseRead, broken, cut},
+		{"end within the head, reset", ok[:25], earlyserver.Close, broken, ""},
+		{"end within the body, reset", ok + longer + event(1), earlyserver.Close, broken, cut},
+		{"whole by its length, reset", ok + size + event(1), earlyserver.Reset, whole, ""},
+		{"whole by its chunks, reset", ok + chunked + chunk + "0\r\n\r\n", earlyserver.Reset, whole, ""},
+		{"whole by its end, reset", ok + noSize + event(1), earlyserver.Close, whole, ""},
+		{"failure, whole by its end", failed + noSize + event(1), earlyserver.CloseRead, failure, ""},
+		{"refusal, whole by its end", noRun + noSize + event(1), earlyserver.CloseRead, refused, ""},
+	} {
+		for _, kind := range []routes.Kind{routes.Idempotent, routes.AtMostOnce, routes.Stream} {
+			early := earlyserver.New(t, earlyserver.Options{Response: c.response, End: c.end})
+			early.Release()
+			b := newTestbed(t, oneRoute(kind, 1, false), &backendServer{name: "one", address: early.Address()})
+			counts := map[string]int{}
+			for range uploads {
+				counts[b.send(http.MethodPost, "/a/x", "", strings.Repeat("x", 1<<20))]++
+			}
+			for got, n := range counts {
+				if got != c.want && (kind != routes.Stream || got != c.wantStream) && (c.want != refused || got != paused) {
+					t.Errorf("%s, %v: got %d of %d times %s, want %s", c.name, kind, n, uploads, got, c.want)
+				}
+			}
+		}
+	}
+}
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -273,12 +273,18 @@
 		wantDone       int
 	}{
 		{"no length, reset", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.Reset, 0},
+		{"failure, no length, reset", "HTTP/1.1 500 Failed\r\n\r\npart", earlyserver.Reset, 0},
+		{"no length, reset, after an interim response", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart", earlyserver.Reset, 0},
+		{"part of the length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", earlyserver.Reset, 0},
+		{"reset within the head", "HTTP/1.1 200 OK\r\nA: ", earlyserver.Reset, 0},
+		{"reset before the head", "", earlyserver.Reset, 0},
+		{"reset after the order", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.ReadReset, 0},
+		{"closed within the length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", earlyserver.ReadClose, 0},
 		{"no length, order read after the end", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.CloseRead, uploads},
 		{"no length, order read before the end", "HTTP/1.1 200 OK\r\n\r\npart", earlyserver.ReadClose, uploads},
 		{"length, order read", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", earlyserver.ReadClose, uploads},
 	} {
-		s := earlyserver.New(t, c.response, c.end)
-		s.Pause = 5 * time.Millisecond // for the client to read the head
+		s := earlyserver.New(t, earlyserver.Options{Response: c.response, End: c.end, Pause: 5 * time.Millisecond}) // for the client to read the head
 		s.Release()
 		service := newHTTPService(ServiceSettings{Address: s.Address()})
 		done := 0
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -35,7 +35,7 @@
 		{"part of the chunks, reset", chunked, earlyserver.Reset, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := earlyserver.New(t, c.response, c.end)
+			s := earlyserver.New(t, earlyserver.Options{Response: c.response, End: c.end})
 			p := newPool()
 			defer p.Close()
 			resp, err := p.Send(context.Background(), s.Address(), Request{Method: http.MethodPost, Host: "h", Path: "/", Header: http.Header{}, Body: make([]byte, 64<<20)})
