relay: TestPreviewRefusals waits for the routes

Cause: a testbed waits until the relay has the servers, and this one has none, so the preview could come before the first routes.

Change: the test first waits until the preview is of a version of the routes. What it checks is unchanged.

--- a/relay/preview_test.go
+++ b/relay/preview_test.go
@@ -82,6 +82,10 @@
 // TestPreviewRefusals checks what the command says of requests that would be refused.
 func TestPreviewRefusals(t *testing.T) {
 	b, r := newPreviewTestbed(t, oneRoute(routes.Stream, 1, false))
+	b.waitFor("the relay has received the routes", func() bool { // newPreviewTestbed waits for servers only
+		text, _ := preview(r, "-host", "crews.example", "-path", "/a/")
+		return !strings.Contains(text, "version 0 of the routes")
+	})
 	for _, c := range []struct{ path, want string }{
 		{"/nowhere/", "refused (not_found): no route for this host and path"},
 		{"/a/", `refused (unavailable): no backend server of service "assist" is available`},
