--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -27,8 +27,13 @@
 	}
 }
 
-// send sends a request and returns the status and the body of the answer.
+// send sends a request for the usual host.
 func (c *client) send(method, path string, header map[string]string, body string, timeout time.Duration) (id string, status int, text string, err error) {
+	return c.sendTo(host, method, path, header, body, timeout)
+}
+
+// sendTo sends a request and returns the status and the body of the answer.
+func (c *client) sendTo(host, method, path string, header map[string]string, body string, timeout time.Duration) (id string, status int, text string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	id = fmt.Sprintf("%016x", requestNumber.Add(1))
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -30,6 +30,7 @@
 	"prompts":  runPrompts,
 	"controls": runControls,
 	"paths":    runPaths,
+	"hosts":    runHosts,
 }
 
 func main() { os.Exit(run()) }
