--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -14,7 +14,7 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   trouble=false
 fi
-timeout -k 3 115 "$harness" -program "$program" -record "review/13/record.txt" -trouble="$trouble" paths
+timeout -k 3 115 "$harness" -program "$program" -record "review/13/record.txt" -trouble="$trouble" hosts
 code=$?
 if [ "$code" -ne 0 ] && [ "$code" -ne 1 ]; then
   exit 2
