--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -14,7 +14,7 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   trouble=false
 fi
-timeout -k 3 115 "$harness" -program "$program" -record "review/14/record.txt" -trouble="$trouble" controls
+timeout -k 3 115 "$harness" -program "$program" -record "review/14/record.txt" -trouble="$trouble" numbers
 code=$?
 if [ "$code" -ne 0 ] && [ "$code" -ne 1 ]; then
   exit 2
--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -56,6 +56,15 @@
 	return id, response.StatusCode, string(answer), err
 }
 
+// sendRead sends a request and returns the status of the answer, 0 for none.
+func sendRead(c *client, path string) int {
+	_, status, _, err := c.send(http.MethodGet, path, nil, "", 2*time.Second)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
 // await calls ready until it returns true.
 func await(limit time.Duration, ready func() bool) bool {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -262,16 +262,6 @@
 	}
 }
 
-// remove stops the process for good, with SIGTERM, and with SIGKILL after the grace time.
-func (p *process) remove(s os.Signal) {
-	p.mu.Lock()
-	p.stopped = true
-	running := p.running
-	p.mu.Unlock()
-	_ = running.Signal(s)
-	time.AfterFunc(8*time.Second, func() { _ = running.Kill() })
-}
-
 func (p *process) state() (ends int, peakMB int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -27,10 +27,10 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*deployment) (broken bool, err error){
-	"prompts":  runPrompts,
-	"controls": runControls,
-	"paths":    runPaths,
-	"hosts":    runHosts,
+	"prompts": runPrompts,
+	"hosts":   runHosts,
+	"numbers": runNumbers,
+	"sizes":   runSizes,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -31,6 +31,10 @@
 	seq   int
 	state string
 	runs  map[string]int // by Request-Id
+
+	readTime float64           // ms for each token of a prompt that isn't cached; 0 to answer at once
+	cached   map[string]string // shared parts, with their numbers of tokens
+	reading  sync.Mutex        // prompts are read one after the other
 }
 
 // newWorker starts a worker on a machine.
@@ -38,7 +42,7 @@
 	w := &worker{
 		deployment: d, id: fmt.Sprintf("i-%s-%d", service, machine), service: service, stage: stage,
 		address: net.JoinHostPort(d.address(machine), strconv.Itoa(workerPort)), born: time.Now().UnixMilli(),
-		controls: controls, done: make(chan struct{}), state: "ready", runs: map[string]int{},
+		controls: controls, done: make(chan struct{}), state: "ready", runs: map[string]int{}, cached: map[string]string{},
 	}
 	l, err := net.Listen("tcp", w.address)
 	if err != nil {
@@ -108,7 +112,7 @@
 	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/"):
 		return
 	case r.URL.Path == "/-/kv-list":
-		_, _ = io.WriteString(rw, `{"epoch":1,"next":1,"held":[]}`)
+		w.writeCached(rw)
 		return
 	case r.Header.Get("Target-Instance") != "" && r.Header.Get("Target-Instance") != w.id:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -131,6 +135,7 @@
 		_, _ = io.WriteString(rw, w.service+" has done it\n")
 		return
 	}
+	w.read(r)
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Weight-Versions", "1")
 	_, _ = io.WriteString(rw, "id: 1\ndata: yes\n\n")
@@ -139,6 +144,41 @@
 	_, _ = io.WriteString(rw, "id: 2\ndata: done\n\n")
 }
 
+// read takes the time to read the part of a prompt that isn't cached.
+func (w *worker) read(r *http.Request) {
+	w.mu.Lock()
+	readTime := w.readTime
+	w.mu.Unlock()
+	if readTime == 0 {
+		return
+	}
+	count, _, _ := strings.Cut(r.Header.Get("Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(count)
+	shared, _, _ := strings.Cut(r.Header.Get("Prompt-Prefix"), ",")
+	id, sharedCount, _ := strings.Cut(shared, ":")
+	w.reading.Lock()
+	defer w.reading.Unlock()
+	w.mu.Lock()
+	if _, known := w.cached[id]; known {
+		n, _ := strconv.Atoi(sharedCount)
+		tokens -= n
+	}
+	w.cached[id] = sharedCount
+	w.mu.Unlock()
+	time.Sleep(time.Duration(readTime * float64(tokens) * float64(time.Millisecond)))
+}
+
+// writeCached writes the list of what is cached.
+func (w *worker) writeCached(rw io.Writer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var entries []string
+	for id, tokens := range w.cached {
+		entries = append(entries, fmt.Sprintf(`["",%q,%s,"m"]`, id, tokens))
+	}
+	_, _ = fmt.Fprintf(rw, `{"epoch":1,"next":1,"held":[%s]}`, strings.Join(entries, ","))
+}
+
 func (w *worker) runCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
