--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -234,11 +235,24 @@
 	if stopped {
 		return
 	}
+	p.endBootstrap()
 	if err := p.launch(); err != nil {
 		p.deployment.record.printf("process %s not started again: %v", p.name, err)
 	}
 }
 
+// endBootstrap changes the settings: bootstrap is true at the first start only.
+func (p *process) endBootstrap() {
+	text, err := os.ReadFile(p.settings)
+	if err == nil {
+		text = bytes.Replace(text, []byte("bootstrap=true"), []byte("bootstrap=false"), 1)
+		err = os.WriteFile(p.settings, text, 0o600)
+	}
+	if err != nil {
+		p.deployment.record.printf("settings of %s not changed: %v", p.name, err)
+	}
+}
+
 // residentMB returns the resident memory of a process.
 func residentMB(pid int) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
