relay: log routes that are never matched

A lost route, a wrong match and a wrong choice of the service looked the same.

Change: View.Install counts the routes that a later one replaces, and the relay warns of them next to "routes in force".

--- a/relay/control.go
+++ b/relay/control.go
@@ -6,6 +6,7 @@
 
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
+	"endivedeck.example/routes"
 	"endivedeck.example/wire"
 )
 
@@ -114,14 +115,8 @@
 	if r.roster.Merge(now, from, update.Servers) { // first, so that a server that leaves gets nothing more
 		r.applyServers(now, from)
 	}
-	if update.Routes != nil && r.routeView.Install(*update.Routes) {
-		r.applyLimits()
-		names := r.routeView.RouteNames()
-		r.placement.Configure(r.routeView.Engines(), names)
-		r.retryDetector.retain(names)
-		r.returns.retain(services(*update.Routes))
-		r.log.WithField("version", update.Routes.Version).WithField("routes", len(update.Routes.Routes)).
-			WithField("control", from).Info("routes in force")
+	if update.Routes != nil {
+		r.applyRoutes(from, *update.Routes)
 	}
 	r.currency.confirm(now, update) // after its routes are in force
 	if _, known := r.routeView.Version(); known {
@@ -137,6 +132,24 @@
 	r.subscribeToControls(update.ControlAddresses)
 }
 
+// applyRoutes puts a table from the instance at address from in force, if it is newer.
+func (r *Relay) applyRoutes(from string, t routes.Table) {
+	installed, shadowed := r.routeView.Install(t)
+	if !installed {
+		return
+	}
+	r.applyLimits()
+	names := r.routeView.RouteNames()
+	r.placement.Configure(r.routeView.Engines(), names)
+	r.retryDetector.retain(names)
+	r.returns.retain(services(t))
+	log := r.log.WithField("version", t.Version).WithField("routes", len(t.Routes)).WithField("control", from)
+	log.Info("routes in force")
+	if shadowed > 0 {
+		log.WithField("shadowed", shadowed).Warn("routes are never matched: later ones have the same host and prefix")
+	}
+}
+
 // applyServers makes placement use the servers of the roster, which has changed by what
 // the instance at address from has sent.
 func (r *Relay) applyServers(now time.Time, from string) {
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -76,13 +76,33 @@
 	for _, version := range []uint64{6, 7, 9} {
 		table := sampleTable()
 		table.Version = version
-		accepted := v.Install(table)
+		accepted, _ := v.Install(table)
 		current, _ := v.Version()
 		fmt.Fprintf(&got, "version %d received: accepted %v, %d in force\n", version, accepted, current)
 	}
 	golden.Check(t, "view.golden", got.String())
 }
 
+// TestInstallShadowedRoutes guards against routes that are never matched without a word:
+// Install counts those that a later one has replaced.
+func TestInstallShadowedRoutes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		host string
+		want int
+	}{
+		{"other host", "seeds.example", 0},
+		{"same host", "crews.example", 1},
+		{"same host in another case", "Crews.example", 1},
+	} {
+		table := sampleTable()
+		table.Routes = append(table.Routes, Route{Name: "last", Host: c.host, Prefix: "/orders/"})
+		if _, got := NewView().Install(table); got != c.want {
+			t.Errorf("%s: got %d shadowed routes, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // TestTeam checks which team holds a key, while a key moves from one team to another
 // and another is withdrawn.
 func TestTeam(t *testing.T) {
--- a/routes/view.go
+++ b/routes/view.go
@@ -24,8 +24,10 @@
 func NewView() *View { return &View{mu: rank.New(rank.Contract), changed: make(chan struct{})} }
 
 // Install puts t in force if it is newer than the current table, and reports
-// whether it was.
-func (v *View) Install(t Table) bool {
+// whether it was. shadowed is the number of its routes that are never matched,
+// since a later one has the same host and prefix. Validate refuses such tables,
+// but one that was stored before it did may still come from a disk or a peer.
+func (v *View) Install(t Table) (installed bool, shadowed int) {
 	byHostPrefix := make(map[string]*Route, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -39,7 +41,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t.Version <= v.version && v.byHostPrefix != nil {
-		return false
+		return false, 0
 	}
 	v.version = t.Version
 	v.byHostPrefix = byHostPrefix
@@ -49,7 +51,7 @@
 	v.teams = teams
 	close(v.changed)
 	v.changed = make(chan struct{})
-	return true
+	return true, len(t.Routes) - len(byHostPrefix)
 }
 
 // Version returns the version of the table in force, or false if there is none.
