routes: compare hosts in one form

Cause: Validate compared hosts as they are written, View in lower case and, for requests, without the port. Two routes with one key of View left one.

Evidence: the relays' logs had "routes in force" with 2 routes and nothing else, so a lost route and a wrong match looked the same.

Change: Route.matchKey, with canonicalHost, is the key in Validate, in View and for requests. A route whose host has a port or is an IPv6 address, which was accepted and got no requests, is matched.

--- a/routes/check.go
+++ b/routes/check.go
@@ -19,17 +19,17 @@
 		}
 		services[s.Name] = true
 	}
-	byHostPrefix := map[string]string{} // route names
+	byMatchKey := map[matchKey]string{} // route names
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := r.validate(services); err != nil {
 			return err
 		}
-		key := r.Host + r.Prefix
-		if other, taken := byHostPrefix[key]; taken {
-			return malformed("routes %q and %q share the host %q and the prefix %q", other, r.Name, r.Host, r.Prefix)
+		key := r.matchKey()
+		if other, taken := byMatchKey[key]; taken {
+			return malformed("routes %q and %q share the host %q and the prefix %q", other, r.Name, key.host, key.prefix)
 		}
-		byHostPrefix[key] = r.Name
+		byMatchKey[key] = r.Name
 	}
 	return validateTeams(t.Teams)
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -39,7 +39,7 @@
 	// with Prefix.
 	Route struct {
 		Name             string        `cbor:"1,keyasint"`
-		Host             string        `cbor:"2,keyasint"`
+		Host             string        `cbor:"2,keyasint"` // as written by the operator; see matchKey
 		Prefix           string        `cbor:"3,keyasint"` // begins and ends with a slash
 		Kind             Kind          `cbor:"4,keyasint"`
 		Resumable        bool          `cbor:"5,keyasint"` // a stream may be resumed at another backend server
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -56,6 +56,79 @@
 	golden.Check(t, "check.golden", got.String())
 }
 
+// TestRoutesOfOneHost guards against routes that are accepted though one of them is never
+// matched, so that its requests run at another service (review/13): two routes are
+// accepted only if requests for the host of each match that route.
+func TestRoutesOfOneHost(t *testing.T) {
+	var got strings.Builder
+	for _, hosts := range [][2]string{
+		{"crews.example", "seeds.example"},
+		{"crews.example", "crews.example"},
+		{"crews.example", "Crews.example"},
+		{"CREWS.EXAMPLE", "crews.example"},
+		{"crews.example", "crews.example:8080"},
+		{"crews.example:80", "crews.example:8080"},
+		{"crews.example", "crews.example:"},
+		{"crews.example", "crews.example."},
+		{"crews.example", ""},
+		{"", ":80"},
+		{"[2001:db8::1]", "[2001:db8::2]"},
+		{"[2001:db8::1]", "[2001:DB8::1]:8080"},
+		{"2001:db8::1", "[2001:db8::1]"},
+	} {
+		table := sampleTable()
+		table.Routes = table.Routes[:2]
+		table.Routes[0].Host, table.Routes[0].Prefix = hosts[0], "/orders/"
+		table.Routes[1].Host = hosts[1]
+		fmt.Fprintf(&got, "hosts %q and %q: %v\n", hosts[0], hosts[1], table.Validate())
+		v := NewView()
+		v.Install(table)
+		matches := true
+		for i, host := range hosts {
+			r, _ := v.Match(host, "/orders/5")
+			fmt.Fprintf(&got, "    request for %q: %s\n", host, routeName(r))
+			matches = matches && r == &table.Routes[i]
+		}
+		if accepted := table.Validate() == nil; accepted != matches {
+			t.Errorf("hosts %q and %q: got accepted %v, each matches its route %v, want the same", hosts[0], hosts[1], accepted, matches)
+		}
+	}
+	golden.Check(t, "hosts.golden", got.String())
+}
+
+// TestMatchOtherFormsOfHost guards against a route that is accepted and gets no requests,
+// as its host is written in another form than in the requests for it.
+func TestMatchOtherFormsOfHost(t *testing.T) {
+	var got strings.Builder
+	for _, c := range []struct {
+		host     string
+		requests []string
+	}{
+		{"Crews.Example", []string{"crews.example", "CREWS.EXAMPLE:8080", "crews.example.", "crews.examples"}},
+		{"crews.example:8080", []string{"crews.example", "crews.example:8080", "crews.example:80"}},
+		{"[2001:db8::1]", []string{"[2001:db8::1]", "[2001:DB8::1]:8080", "[2001:db8::2]:8080"}},
+		{"10.0.0.1", []string{"10.0.0.1", "10.0.0.1:8080"}},
+	} {
+		table := sampleTable()
+		table.Routes = table.Routes[1:2]
+		table.Routes[0].Host = c.host
+		v := NewView()
+		v.Install(table)
+		for _, host := range c.requests {
+			r, _ := v.Match(host, "/orders/5")
+			fmt.Fprintf(&got, "route for %q, request for %q: %s\n", c.host, host, routeName(r))
+		}
+	}
+	golden.Check(t, "forms.golden", got.String())
+}
+
+func routeName(r *Route) string {
+	if r == nil {
+		return "none"
+	}
+	return r.Name
+}
+
 // TestView matches requests to routes, and checks that a table isn't replaced by
 // one of the same or a lower version.
 func TestView(t *testing.T) {
@@ -67,11 +140,8 @@
 		"other.example /orders/5", "crews.example ", "crews.example //",
 	} {
 		host, path, _ := strings.Cut(url, " ")
-		name := "none"
-		if r, _ := v.Match(host, path); r != nil {
-			name = r.Name
-		}
-		fmt.Fprintf(&got, "%s: %s\n", url, name)
+		r, _ := v.Match(host, path)
+		fmt.Fprintf(&got, "%s: %s\n", url, routeName(r))
 	}
 	for _, version := range []uint64{6, 7, 9} {
 		table := sampleTable()
--- a/routes/view.go
+++ b/routes/view.go
@@ -1,7 +1,6 @@
 package routes
 
 import (
-	"net"
 	"strings"
 
 	"endivedeck.example/rank"
@@ -12,7 +11,7 @@
 type View struct {
 	mu           rank.Mutex
 	version      uint64
-	byHostPrefix map[string]*Route // keys are host + prefix; nil while no table is in force
+	byMatchKey   map[matchKey]*Route // nil while no table is in force
 	services     map[string]*Service
 	limits       Limits
 	keysRequired bool
@@ -28,10 +27,10 @@
 // since a later one has the same host and prefix. Validate refuses such tables,
 // but one that was stored before it did may still come from a disk or a peer.
 func (v *View) Install(t Table) (installed bool, shadowed int) {
-	byHostPrefix := make(map[string]*Route, len(t.Routes))
+	byMatchKey := make(map[matchKey]*Route, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		byHostPrefix[strings.ToLower(r.Host)+r.Prefix] = r
+		byMatchKey[r.matchKey()] = r
 	}
 	services := make(map[string]*Service, len(t.Services))
 	for i := range t.Services {
@@ -40,25 +39,25 @@
 	teams := newTeamIndex(t.Teams)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if t.Version <= v.version && v.byHostPrefix != nil {
+	if t.Version <= v.version && v.byMatchKey != nil {
 		return false, 0
 	}
 	v.version = t.Version
-	v.byHostPrefix = byHostPrefix
+	v.byMatchKey = byMatchKey
 	v.services = services
 	v.limits = t.Limits
 	v.keysRequired = t.KeysRequired
 	v.teams = teams
 	close(v.changed)
 	v.changed = make(chan struct{})
-	return true, len(t.Routes) - len(byHostPrefix)
+	return true, len(t.Routes) - len(byMatchKey)
 }
 
 // Version returns the version of the table in force, or false if there is none.
 func (v *View) Version() (uint64, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.version, v.byHostPrefix != nil
+	return v.version, v.byMatchKey != nil
 }
 
 // Limits returns the limits of requests.
@@ -107,21 +106,18 @@
 func (v *View) RouteNames() map[string]bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	names := make(map[string]bool, len(v.byHostPrefix))
-	for _, r := range v.byHostPrefix {
+	names := make(map[string]bool, len(v.byMatchKey))
+	for _, r := range v.byMatchKey {
 		names[r.Name] = true
 	}
 	return names
 }
 
 // Match returns the route of host that has the longest matching prefix of path,
-// or nil, and the version of the table. A port in host is ignored. The route is
-// shared and must not be modified.
+// or nil, and the version of the table. The case of host and a port in it are
+// ignored. The route is shared and must not be modified.
 func (v *View) Match(host, path string) (*Route, uint64) {
-	host = strings.ToLower(host)
-	if hostname, _, err := net.SplitHostPort(host); err == nil {
-		host = hostname
-	}
+	host = canonicalHost(host)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for end := len(path); ; {
@@ -129,7 +125,7 @@
 		if end < 0 {
 			return nil, v.version
 		}
-		if r := v.byHostPrefix[host+path[:end+1]]; r != nil {
+		if r := v.byMatchKey[matchKey{host, path[:end+1]}]; r != nil {
 			return r, v.version
 		}
 	}
