control: check forwarded route tables at the leader

An operator's invalid table could get in force during an upgrade: the instance that took it checked it, the leader did not, so a peer of an earlier version could have a table acknowledged that this version refuses.

Cause: putRoutes stored what a peer had accepted.

Change: putRoutes validates before it proposes.

Red before: TestForwardedRoutesAreChecked, 3 times "got <nil>, want an error of the kind malformed", with version 5 in force.

--- a/control/api.go
+++ b/control/api.go
@@ -75,6 +75,9 @@
 	if request.Routes == nil {
 		return response, fault.New(fault.Malformed, fault.NotRun, "the request contains no route table")
 	}
+	if err := request.Routes.Validate(); err != nil { // a peer of another version may have accepted it
+		return response, err
+	}
 	replica, _, err := c.leaderReplica(time.Now())
 	if err != nil {
 		return response, err
--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -267,6 +267,30 @@
 	golden.Check(t, "routes.golden", seen.String())
 }
 
+// TestForwardedRoutesAreChecked guards against an invalid route table in force because a
+// peer has accepted it, which may run an earlier version of the system: the leader checks
+// what is forwarded to it.
+func TestForwardedRoutesAreChecked(t *testing.T) {
+	withSeeds(t, []string{"seed-1", "seed-2", "seed-3"}, func(cl *cluster) {
+		leader := cl.awaitLeader()
+		cl.putRoutes(leader, routeTable(4, "ledger"))
+		bad := routeTable(5, "ledger")
+		second := bad.Routes[0]
+		second.Name, second.Host = "second", "Ledger.example"
+		bad.Routes = append(bad.Routes, second)
+		for _, f := range cl.founders {
+			request := message.OperateRequest{Kind: OperatePutRoutes, Routes: &bad}
+			_, err := cl.controls[f.Instance].control.Operate(cl.t.Context(), request)
+			if got, want := fault.KindOf(err), fault.Malformed; got != want {
+				t.Errorf("through %s, leader %s: got %v, want an error of the kind %s", f.Instance, leader, err, want)
+			}
+		}
+		if got, want := cl.readRoutes(leader), "version 4 to ledger"; got != want {
+			t.Errorf("got %q in force, want %q", got, want)
+		}
+	})
+}
+
 // TestRelayUpdates subscribes to an instance as a relay does, and checks that a
 // new route table and a backend server's announcement arrive within 2 s.
 func TestRelayUpdates(t *testing.T) {
