routes: refuse one key for two teams of one name

Requests with a key that two teams of one name hold got the priority of the later team, and the table was acknowledged.

Cause: validateTeams compared the holders of a key by name, and requests find the team by its key.

Change: the holders are compared by their place in the table.

Red before: TestValidate, "teams of one name with the same key: <nil>".

--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -24,7 +24,8 @@
 	}
 }
 
-// TestValidate checks tables that have one fault each.
+// TestValidate checks tables that have one fault each. Among them are two teams that hold
+// one key and have one name, of which only the later would be found by the key.
 func TestValidate(t *testing.T) {
 	var got strings.Builder
 	for _, c := range []struct {
@@ -44,6 +45,12 @@
 		{"teams with the same key", func(t *Table) {
 			t.Teams = []Team{{Name: "a", KeyHashes: []string{"1"}}, {Name: "b", KeyHashes: []string{"2", "1"}}}
 		}},
+		{"teams of one name with the same key", func(t *Table) {
+			t.Teams = []Team{{Name: "a", Priority: 1, KeyHashes: []string{"1"}}, {Name: "a", Priority: 2, KeyHashes: []string{"1"}}}
+		}},
+		{"teams of one name with other keys", func(t *Table) {
+			t.Teams = []Team{{Name: "a", Priority: 1, KeyHashes: []string{"1"}}, {Name: "a", Priority: 2, KeyHashes: []string{"2"}}}
+		}},
 		{"team without a name", func(t *Table) { t.Teams = []Team{{}} }},
 		{"team whose name ends a header", func(t *Table) { t.Teams = []Team{{Name: "a\r\nb"}} }},
 		{"team with a negative priority", func(t *Table) { t.Teams = []Team{{Name: "a", Priority: -2}} }},
--- a/routes/teams.go
+++ b/routes/teams.go
@@ -53,8 +53,9 @@
 }
 
 func validateTeams(teams []Team) error {
-	holders := map[string]string{} // names of teams by key hash
-	for _, team := range teams {
+	holders := map[string]*Team{} // by key hash
+	for i := range teams {
+		team := &teams[i]
 		if team.Name == "" || strings.ContainsFunc(team.Name, unfitForHeader) {
 			return malformed("team %q: the name must be visible ASCII text", team.Name)
 		}
@@ -62,10 +63,10 @@
 			return malformed("team %q: the priority is negative: %d", team.Name, team.Priority)
 		}
 		for _, hash := range team.KeyHashes {
-			if holder, taken := holders[hash]; taken && holder != team.Name {
-				return malformed("teams %q and %q share a key", holder, team.Name)
+			if holder, taken := holders[hash]; taken && holder != team {
+				return malformed("teams %q and %q share a key", holder.Name, team.Name)
 			}
-			holders[hash] = team.Name
+			holders[hash] = team
 		}
 	}
 	return nil
