contract: find keys whose hash is in upper case

A customer whose contract has the hash of its key in upper case was refused as unknown, though the contract was accepted. Two customers could hold one key if their contracts wrote its hash in different cases.

Cause: the check of a contract takes hex digits of either case, and View and the check of conflicts compared hashes as they are written.

Change: hashes are compared in lower case (canonicalHash), which also holds for contracts that are already stored.

Red before: TestKeyHashesInUpperCase. Green after: contract.

--- a/contract/book.go
+++ b/contract/book.go
@@ -112,7 +112,7 @@
 		}
 		shares += other.Contract.Share
 		for _, key := range next.Contract.Keys {
-			if slices.Contains(other.Contract.Keys, key) {
+			if other.Contract.holdsKey(key) {
 				return &fault.Error{Kind: fault.Conflict, Ran: fault.NotRun, Message: "a key belongs to another customer"}
 			}
 		}
--- a/contract/book_test.go
+++ b/contract/book_test.go
@@ -50,3 +50,37 @@
 	}
 	golden.Check(t, "book.golden", text.String())
 }
+
+// TestKeyHashesInUpperCase guards against a contract that is accepted and whose key is
+// unknown: a contract may have the hash of a key in upper case. It also checks that a key
+// can't belong to two customers whose contracts write its hash in different cases.
+func TestKeyHashesInUpperCase(t *testing.T) {
+	lower := HashKey("secret")
+	upper := strings.ToUpper(lower)
+	var text strings.Builder
+	store, view := NewStore(), NewView()
+	apply := func(customer string, replaces uint64, keys ...string) {
+		change := Change{Customer: customer, Replaces: replaces}
+		if len(keys) > 0 {
+			change.Contract = &Contract{Customer: customer, Keys: keys}
+		}
+		revision := store.Revision + 1
+		outcome := store.Apply(revision, change)
+		fmt.Fprintf(&text, "%s replaces %d with %d keys: ", customer, replaces, len(keys))
+		if outcome.Error != nil {
+			fmt.Fprintf(&text, "%s: %s\n", outcome.Error.Kind, outcome.Error.Message)
+			return
+		}
+		view.Advance(revision, []Accepted{outcome.Current})
+		accepted, known := view.ByKey(lower)
+		fmt.Fprintf(&text, "key known %v, of customer %q, version %d\n", known, accepted.Contract.Customer, accepted.Version)
+	}
+	apply("crews", 0, upper)
+	apply("gyms", 0, lower)
+	apply("crews", 1, lower)
+	apply("gyms", 0, upper)
+	apply("crews", 2, upper)
+	apply("crews", 3)
+	apply("gyms", 0, upper)
+	golden.Check(t, "case.golden", text.String())
+}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -156,6 +156,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// canonicalHash returns the form in which hashes of keys are compared. The hex
+// digits of a contract may be in upper case.
+func canonicalHash(hash string) string { return strings.ToLower(hash) }
+
+// holdsKey reports whether the contract has the key with a hash.
+func (c *Contract) holdsKey(hash string) bool {
+	return slices.ContainsFunc(c.Keys, func(key string) bool { return canonicalHash(key) == canonicalHash(hash) })
+}
+
 // AllowsModel reports whether the contract names the model.
 func (c *Contract) AllowsModel(model string) bool { return slices.Contains(c.Models, model) }
 
--- a/contract/view.go
+++ b/contract/view.go
@@ -47,8 +47,8 @@
 		return
 	}
 	for _, key := range old.Contract.Keys {
-		if v.keys[key] == customer {
-			delete(v.keys, key)
+		if hash := canonicalHash(key); v.keys[hash] == customer {
+			delete(v.keys, hash)
 		}
 	}
 	v.contracts[customer] = accepted
@@ -56,7 +56,7 @@
 		return
 	}
 	for _, key := range accepted.Contract.Keys {
-		v.keys[key] = customer
+		v.keys[canonicalHash(key)] = customer
 	}
 }
 
@@ -71,7 +71,7 @@
 func (v *View) ByKey(hash string) (Accepted, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	customer, ok := v.keys[hash]
+	customer, ok := v.keys[canonicalHash(hash)]
 	if !ok {
 		return Accepted{}, false
 	}
