access: find operators whose hash is in upper case

An operator whose hash is in upper case in the settings was refused.

Cause: Find compared the hash as written with one in lower case.

Change: Find compares in lower case.

Red before: TestFind, "got operator none, want upper". Green after: access.

--- a/internal/operators/access/access.go
+++ b/internal/operators/access/access.go
@@ -12,7 +12,7 @@
 // Operator is an account of an operator.
 type Operator struct {
 	Name string `json:"name" need:"yes"`
-	Hash string `json:"hash" need:"yes"` // SHA-256 of the operator's key, in hex
+	Hash string `json:"hash" need:"yes"` // SHA-256 of the operator's key, in hex digits of either case
 }
 
 // Find returns the operator whose key is the request's bearer token, or nil.
@@ -23,7 +23,7 @@
 	}
 	hash := contract.HashKey(key)
 	for i := range operators {
-		if subtle.ConstantTimeCompare([]byte(hash), []byte(operators[i].Hash)) == 1 {
+		if subtle.ConstantTimeCompare([]byte(hash), []byte(strings.ToLower(operators[i].Hash))) == 1 {
 			return &operators[i]
 		}
 	}
