control: store a first route table of version 0

Cause: the version 0 also stood for "no table", in putRoutes, in Store.Apply, in the subscription by which a relay says what it has, and in spread.Delivery.

Evidence: of all six processes' logs, the leader's line "route table not stored: its version isn't newer", newest 0, version 0, was the only one about routes.

The gauge relay_routes_known tells no routes from routes of version 0.

--- a/control/api.go
+++ b/control/api.go
@@ -27,7 +27,8 @@
 	return err
 }
 
-// Routes returns the current route table as a linearizable read.
+// Routes returns the current route table as a linearizable read. It fails with
+// fault.NotFound if none has been stored.
 func (a *API) Routes(ctx context.Context) (routes.Table, error) {
 	response, err := a.control.Operate(ctx, message.OperateRequest{Kind: OperateGetRoutes})
 	if err != nil {
@@ -83,13 +84,14 @@
 		return response, err
 	}
 	log := c.log.WithField("version", request.Routes.Version).WithField("routes", len(request.Routes.Routes))
-	if c.state.Routes().Version >= request.Routes.Version {
+	if newest, known := c.state.Routes(); known && newest.Version >= request.Routes.Version {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if err := replica.Barrier(ctx); err != nil {
 			return response, err
 		}
-		log.WithField("newest", c.state.Routes().Version).Info("route table not stored: its version isn't newer")
+		newest, _ = c.state.Routes()
+		log.WithField("newest", newest.Version).Info("route table not stored: its version isn't newer")
 		return response, nil
 	}
 	result, err := c.propose(ctx, Command{Routes: request.Routes})
--- a/control/operate.go
+++ b/control/operate.go
@@ -121,7 +121,10 @@
 	case OperateStatus:
 		response.Status = c.status(lead)
 	case OperateGetRoutes:
-		table := c.state.Routes()
+		table, known := c.state.Routes()
+		if !known {
+			return response, fault.New(fault.NotFound, fault.NotRun, "no route table has been stored yet")
+		}
 		response.Routes = &table
 	default:
 		return response, fault.New(fault.Malformed, fault.NotRun, "unknown operator request kind %q", request.Kind)
@@ -142,7 +145,8 @@
 		Changes:      c.state.Changes(),
 		OrderCount:   c.state.OrderCount(),
 	}
-	for _, team := range c.state.Routes().Teams {
+	table, _ := c.state.Routes()
+	for _, team := range table.Teams {
 		status.Teams = append(status.Teams, message.Team{Name: team.Name, Keys: len(team.KeyHashes)})
 	}
 	c.duties.status(now, status)
--- a/control/publisher.go
+++ b/control/publisher.go
@@ -13,6 +13,7 @@
 	"endivedeck.example/quorum"
 	"endivedeck.example/rank"
 	"endivedeck.example/roster"
+	"endivedeck.example/routes"
 	"endivedeck.example/wire"
 )
 
@@ -48,7 +49,7 @@
 		request   message.SubscribeRequest
 		wake      chan struct{}
 		done      chan struct{}
-		held      atomic.Uint64 // version of the routes in force at the relay, as it has said
+		held      atomic.Pointer[spread.Holding] // routes in force at the relay, as it has said
 
 		// What the relay has been sent. Only run uses these.
 		delivery         roster.Delivery
@@ -71,12 +72,13 @@
 		return
 	}
 	s := &relaySubscriber{publisher: p, call: call, request: request, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	s.held.Store(request.RoutesVersion)
+	s.held.Store(&spread.Holding{Version: request.RoutesVersion, Known: request.HasRoutes || request.RoutesVersion > 0})
 	if !p.add(s) {
 		call.End()
 		return
 	}
-	p.control.log.WithField("relay", request.Relay).WithField("version", request.RoutesVersion).Info("relay subscribed")
+	p.control.log.WithField("relay", request.Relay).WithField("version", request.RoutesVersion).
+		WithField("known", s.held.Load().Known).Info("relay subscribed")
 	go s.run()
 	go s.loop()
 }
@@ -177,11 +179,11 @@
 func (s *relaySubscriber) loop() {
 	defer s.publisher.running.Done()
 	for {
-		var routes message.RoutesInForce
-		if err := s.call.Receive(&routes); err != nil {
+		var inForce message.RoutesInForce
+		if err := s.call.Receive(&inForce); err != nil {
 			return
 		}
-		s.held.Store(routes.Version)
+		s.held.Store(&spread.Holding{Version: inForce.Version, Known: true})
 	}
 }
 
@@ -198,15 +200,12 @@
 	if replica != nil {
 		currentAt = replica.Leadership().CurrentAt // before the routes are read, which are at least as new
 	}
-	table := c.state.Routes()
+	table, known := c.state.Routes()
 	newRoutes := false
 	if !currentAt.IsZero() {
-		s.routes.Held = s.held.Load()
-		place := 0
-		if s.greeted {
-			place = s.place(replica)
+		if known {
+			newRoutes, wait = s.dueRoutes(now, table, replica)
 		}
-		newRoutes, wait = s.routes.Due(now, table.Version, len(table.SourceText), place)
 		s.greeted = true
 	}
 	update := s.update(now, repeats)
@@ -227,6 +226,16 @@
 	return true, 0, s.call.Send(update)
 }
 
+// dueRoutes reports whether a table is to be sent to the relay now, or the time until then.
+func (s *relaySubscriber) dueRoutes(now time.Time, table routes.Table, replica *quorum.Replica) (send bool, wait time.Duration) {
+	s.routes.Held = *s.held.Load()
+	place := 0
+	if s.greeted {
+		place = s.place(replica)
+	}
+	return s.routes.Due(now, table.Version, len(table.SourceText), place)
+}
+
 // place returns the place of this instance in the order in which control instances send
 // large tables to the relay. Those that keep the log on a disk go before the others, since
 // they are on the larger machines.
--- a/control/routes_test.go
+++ b/control/routes_test.go
@@ -267,6 +267,126 @@
 	golden.Check(t, "routes.golden", seen.String())
 }
 
+// TestFirstRoutesOfVersion0 guards against a first route table that is acknowledged and lost
+// because its version, 0, was taken for that of no table (review/14): at the instances, on
+// their disks, in snapshots of their state, and on the way to relays.
+func TestFirstRoutesOfVersion0(t *testing.T) {
+	var seen strings.Builder
+	note := func(format string, args ...any) { fmt.Fprintf(&seen, format+"\n", args...) }
+	names := []string{"seed-1", "seed-2", "seed-3"}
+	withSeeds(t, names, func(cl *cluster) {
+		cl.awaitLeader()
+		noteAll := func(what string) {
+			var texts []string
+			for _, name := range names {
+				texts = append(texts, cl.awaitRoutes(name))
+			}
+			note("%s: %s", what, strings.Join(texts, "; "))
+			for _, c := range []struct {
+				relay   string
+				request message.SubscribeRequest
+			}{
+				{"without routes", message.SubscribeRequest{Relay: "relay-1", Address: "relay-1"}},
+				{"that has version 0", message.SubscribeRequest{Relay: "relay-1", Address: "relay-1", HasRoutes: true}},
+				{"of an earlier version that has version 1", message.SubscribeRequest{Relay: "relay-1", Address: "relay-1", RoutesVersion: 1}},
+			} {
+				note("    a relay %s is sent %s", c.relay, cl.sentRoutes("seed-2", c.request))
+			}
+		}
+		noteAll("before any")
+		note("version 0: %s", cl.putRoutes("seed-1", routeTable(0, "ledger")))
+		noteAll("read at each")
+		note("version 0 with other content: %s", cl.putRoutes("seed-3", routeTable(0, "other")))
+		noteAll("read at each")
+
+		cl.restartAll(names)
+		noteAll("after a restart of all")
+		for i := range 120 { // enough for a snapshot
+			cl.putContract(cl.awaitLeader(), "crews", uint64(i), "", 0.1, 0)
+		}
+		cl.restartAll(names)
+		noteAll("after a restart from snapshots")
+		cl.kill("seed-3")
+		cl.startWith("seed-3", bootstrapJoin, wal.NewMemoryDisk())
+		cl.awaitVoterCount(3)
+		noteAll("after the loss of a disk")
+
+		note("version 1: %s", cl.putRoutes("seed-2", routeTable(1, "ledger")))
+		note("version 0 again: %s", cl.putRoutes("seed-1", routeTable(0, "ledger")))
+		noteAll("read at each")
+	})
+	golden.Check(t, "version0.golden", seen.String())
+}
+
+// restartAll crashes the named instances and starts them again with their disks.
+func (cl *cluster) restartAll(names []string) {
+	cl.t.Helper()
+	disks := map[string]*wal.MemoryDisk{}
+	for _, name := range names {
+		disks[name] = cl.controls[name].disk
+		cl.kill(name)
+	}
+	for _, name := range names {
+		cl.startWith(name, bootstrapJoin, disks[name])
+	}
+}
+
+// sentRoutes returns the versions of the routes that an instance sends to a relay within 2 s
+// of its subscription.
+func (cl *cluster) sentRoutes(instance string, request message.SubscribeRequest) string {
+	cl.t.Helper()
+	r := cl.subscribeWith(instance, request)
+	defer r.close()
+	interval.Sleep(cl.t.Context(), 2*time.Second)
+	var versions []string
+	for len(r.updates) > 0 {
+		if update := <-r.updates; update.Routes != nil {
+			versions = append(versions, fmt.Sprintf("version %d", update.Routes.Version))
+		}
+	}
+	if len(versions) == 0 {
+		return "none"
+	}
+	return strings.Join(versions, ", ")
+}
+
+// TestRoutesInOldSnapshots restores snapshots of the form that instances wrote before they
+// told a first table of version 0 from none.
+func TestRoutesInOldSnapshots(t *testing.T) {
+	type (
+		oldStore struct {
+			Table routes.Table `cbor:"1,keyasint"`
+		}
+		oldSnapshot struct {
+			Routes *oldStore `cbor:"5,keyasint,omitempty"`
+		}
+	)
+	stored := routeTable(3, "ledger")
+	for _, c := range []struct {
+		name      string
+		snapshot  oldSnapshot
+		want      uint64
+		wantKnown bool
+	}{
+		{"before routes were part of the state", oldSnapshot{}, 0, false},
+		{"no table", oldSnapshot{Routes: &oldStore{}}, 0, false},
+		{"a table", oldSnapshot{Routes: &oldStore{Table: stored}}, 3, true},
+	} {
+		data, err := wire.Encode(c.snapshot)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewState()
+		if err := s.Restore(data); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		got, known := s.Routes()
+		if got.Version != c.want || known != c.wantKnown {
+			t.Errorf("%s: got version %d, known %v, want %d, %v", c.name, got.Version, known, c.want, c.wantKnown)
+		}
+	}
+}
+
 // TestForwardedRoutesAreChecked guards against an invalid route table in force because a
 // peer has accepted it, which may run an earlier version of the system: the leader checks
 // what is forwarded to it.
@@ -363,11 +483,16 @@
 	running sync.WaitGroup
 }
 
-// subscribe subscribes a reader to an instance until its close is called.
+// subscribe subscribes a reader without routes to an instance until its close is called.
 func (cl *cluster) subscribe(instance string) *updateReader {
+	cl.t.Helper()
+	return cl.subscribeWith(instance, message.SubscribeRequest{Relay: "relay-1", Address: "relay-1"})
+}
+
+func (cl *cluster) subscribeWith(instance string, request message.SubscribeRequest) *updateReader {
 	cl.t.Helper()
 	r := &updateReader{client: wire.NewClient(cl.network.Transport("relay-1")), updates: make(chan message.RelayUpdate, 1024)}
-	call, err := r.client.OpenCall(cl.t.Context(), instance, message.MethodUpdates, message.SubscribeRequest{Relay: "relay-1", Address: "relay-1"})
+	call, err := r.client.OpenCall(cl.t.Context(), instance, message.MethodUpdates, request)
 	if err != nil {
 		cl.t.Fatal(err)
 	}
@@ -412,8 +537,8 @@
 		cl.network.Isolate("seed-2", "seed-1", "seed-3")
 		in := cl.startWith("seed-2", bootstrapJoin, disk)
 		interval.Sleep(cl.t.Context(), 3*time.Second)
-		if got := in.control.state.Routes().Version; got == 0 || got > version {
-			t.Fatalf("got version %d from the disk, want one of 1 to %d", got, version)
+		if got, known := in.control.state.Routes(); !known || got.Version == 0 || got.Version > version {
+			t.Fatalf("got version %d (known %v) from the disk, want one of 1 to %d", got.Version, known, version)
 		}
 		r := cl.subscribe("seed-2")
 		defer r.close()
--- a/control/servers.go
+++ b/control/servers.go
@@ -82,7 +82,8 @@
 // states returns what is known of the services whose servers are ordered.
 func (o *serverOrderer) states(now time.Time) []replicas.State {
 	var states []replicas.State
-	for _, service := range o.manager.control.state.Routes().Services {
+	table, _ := o.manager.control.state.Routes()
+	for _, service := range table.Services {
 		if service.Scaling != nil {
 			state := o.demand.state(now, service.Name)
 			state.Bounds = *service.Scaling
--- a/control/state.go
+++ b/control/state.go
@@ -232,11 +232,12 @@
 	return s.changes.List()
 }
 
-// Routes returns the current route table. It is shared and must not be modified.
-func (s *State) Routes() routes.Table {
+// Routes returns the current route table, or false if none has been stored. The
+// table is shared and must not be modified.
+func (s *State) Routes() (t routes.Table, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes.Table
+	return s.routes.Newest()
 }
 
 // Tenure returns the latest tenure of a duty.
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -24,19 +24,31 @@
 	maxPlace = 3
 )
 
-// Delivery is what one source knows of one receiver. The zero value has sent nothing.
-type Delivery struct {
-	Held uint64 // newest version that the receiver is known to have
-	Sent uint64 // newest version that was sent to it
+type (
+	// Delivery is what one source knows of one receiver. The zero value has sent nothing.
+	Delivery struct {
+		Held Holding // what the receiver is known to have
+		Sent Holding // what was sent to it
 
-	missingSince time.Time // since when a newer version than these has been known; zero if none is
-}
+		missingSince time.Time // since when a newer version than these has been known; zero if none is
+	}
+
+	// Holding is the newest version of something that a process has. The zero value has
+	// none, not even version 0.
+	Holding struct {
+		Version uint64
+		Known   bool
+	}
+)
+
+// Lacks reports whether a version is newer than what the process has.
+func (h Holding) Lacks(version uint64) bool { return !h.Known || h.Version < version }
 
 // Due reports whether a version of the given size is to be sent now, which it records. place
 // is that of the source in the receiver's order, from 0. If the version is to be sent later,
 // wait is the time until then.
 func (d *Delivery) Due(now time.Time, version uint64, bytes, place int) (send bool, wait time.Duration) {
-	if version <= max(d.Held, d.Sent) {
+	if !d.Held.Lacks(version) || !d.Sent.Lacks(version) {
 		d.missingSince = time.Time{}
 		return false, 0
 	}
@@ -49,7 +61,7 @@
 	if wait > 0 {
 		return false, wait
 	}
-	d.Sent = version
+	d.Sent = Holding{Version: version, Known: true}
 	d.missingSince = time.Time{}
 	return true, 0
 }
--- a/message/message.go
+++ b/message/message.go
@@ -169,8 +169,9 @@
 	// SubscribeRequest subscribes a relay to updates for the duration of the call.
 	SubscribeRequest struct {
 		Relay         string `cbor:"1,keyasint"`
-		RoutesVersion uint64 `cbor:"2,keyasint"` // of the routes in force at the relay
-		Address       string `cbor:"3,keyasint"` // address of the relay for other relays
+		RoutesVersion uint64 `cbor:"2,keyasint"`           // of the routes in force at the relay
+		Address       string `cbor:"3,keyasint"`           // address of the relay for other relays
+		HasRoutes     bool   `cbor:"4,keyasint,omitempty"` // there are routes in force; relays of earlier versions don't say so
 	}
 
 	// RelayLoads reports to other relays how much load one relay has placed on
--- a/relay/control.go
+++ b/relay/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"endivedeck.example/internal/fleet/spread"
 	"endivedeck.example/interval"
 	"endivedeck.example/message"
 	"endivedeck.example/routes"
@@ -56,16 +57,16 @@
 }
 
 // loop tells the control instance which routes are in force, so that it doesn't send them,
-// until ctx is done or the call fails. told is the version that it knows of.
-func (s *controlSubscription) loop(ctx context.Context, call *wire.Call, told uint64) {
+// until ctx is done or the call fails. told is what it knows of.
+func (s *controlSubscription) loop(ctx context.Context, call *wire.Call, told spread.Holding) {
 	defer s.relay.tasks.Done()
 	for {
 		changed := s.relay.routeView.Changed() // before the version is read, so that none is missed
-		if version, _ := s.relay.routeView.Version(); version > told {
+		if version, known := s.relay.routeView.Version(); known && told.Lacks(version) {
 			if err := call.Send(message.RoutesInForce{Version: version}); err != nil {
 				return // receiveUpdates sees that as well
 			}
-			told = version
+			told = spread.Holding{Version: version, Known: true}
 		}
 		select {
 		case <-changed:
@@ -77,8 +78,11 @@
 
 // receiveUpdates opens the subscription and applies updates until it fails.
 func (s *controlSubscription) receiveUpdates(ctx context.Context) error {
-	version, _ := s.relay.routeView.Version()
-	request := message.SubscribeRequest{Relay: s.relay.host.Process.Instance, RoutesVersion: version, Address: s.relay.settings.PeerListen}
+	version, known := s.relay.routeView.Version()
+	request := message.SubscribeRequest{
+		Relay: s.relay.host.Process.Instance, Address: s.relay.settings.PeerListen,
+		HasRoutes: known, RoutesVersion: version,
+	}
 	call, err := s.relay.client.OpenCall(ctx, s.address, message.MethodUpdates, request)
 	if err != nil {
 		return err
@@ -89,7 +93,7 @@
 	toldCtx, stopTelling := context.WithCancel(ctx)
 	defer stopTelling()
 	s.relay.tasks.Add(1)
-	go s.loop(toldCtx, call, version)
+	go s.loop(toldCtx, call, spread.Holding{Version: version, Known: known})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.relay.usage.start(ctx, s.address)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -21,6 +21,12 @@
 		version, _ := r.routeView.Version()
 		return float64(version)
 	})
+	set.NewGauge("relay_routes_known", func() float64 {
+		if _, known := r.routeView.Version(); known {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("relay_connections_opened_total", func() float64 { return float64(r.upstream.DialCount()) })
 	set.NewGauge("relay_quarantined_parts", func() float64 { return float64(r.quarantine.Count(quarantine.Quarantined)) })
 	set.NewGauge("relay_buffered_bytes", func() float64 { return float64(r.buffers.held.Load()) })
--- a/relay/testbed_test.go
+++ b/relay/testbed_test.go
@@ -43,11 +43,12 @@
 		workers *pool.Pool
 
 		mu     sync.Mutex
-		update message.RelayUpdate // sent at the start of each subscription
-		hold   chan struct{}       // if not nil, subscriptions get nothing until it is closed
-		calls  []*wire.ServerCall  // open subscriptions
-		usage  map[string]uint64   // requests reported, by team
-		demand []message.Demand    // as reported last
+		update message.RelayUpdate        // sent at the start of each subscription
+		hold   chan struct{}              // if not nil, subscriptions get nothing until it is closed
+		calls  []*wire.ServerCall         // open subscriptions
+		asked  []message.SubscribeRequest // of calls
+		usage  map[string]uint64          // requests reported, by team
+		demand []message.Demand           // as reported last
 	}
 
 	// backendServer is a backend server that follows a script: one step for each
@@ -185,6 +186,11 @@
 	if hold != nil {
 		<-hold
 	}
+	var request message.SubscribeRequest
+	if err := call.Decode(&request); err != nil {
+		call.Fail(err)
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock() // until the call is registered, so that it misses no later update
 	if err := call.Send(b.update); err != nil {
@@ -192,6 +198,27 @@
 		return
 	}
 	b.calls = append(b.calls, call)
+	b.asked = append(b.asked, request)
+}
+
+// subscription waits for the n-th subscription of a relay, counted from 1, and returns it.
+func (b *testbed) subscription(relay string, n int) *wire.ServerCall {
+	b.t.Helper()
+	var found *wire.ServerCall
+	b.waitFor("the relay has subscribed", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		count := 0
+		for i, request := range b.asked {
+			if request.Relay == relay {
+				if count++; count == n {
+					found = b.calls[i]
+				}
+			}
+		}
+		return found != nil
+	})
+	return found
 }
 
 // announce sends an announcement of a backend server to all subscriptions.
