relay: tell no routes from no match in previews

An operator's preview at a relay that has no routes yet said "no route for this host and path", where the request gets 503, "the relay has not received any routes yet".

Cause: the preview matched in the empty table.

Change: identifyPreview fails as the request does.

Red before: TestPreviewBeforeRoutes, "version 0 of the routes: ... no route for this host and path".

--- a/relay/preview.go
+++ b/relay/preview.go
@@ -111,6 +111,9 @@
 
 // identifyPreview is identify for a request of which the operator says a part.
 func (j *job) identifyPreview(query message.PreviewRequest) error {
+	if _, known := j.relay.routeView.Version(); !known {
+		return errNoRoutes()
+	}
 	named := j.relay.routeView.TeamNamed(query.Team)
 	if query.Team != "" && named == nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "no team %q", query.Team)
--- a/relay/preview_test.go
+++ b/relay/preview_test.go
@@ -100,6 +100,31 @@
 	}
 }
 
+// TestPreviewBeforeRoutes guards against a preview that says that no route matches where the
+// relay has no routes at all yet, so that the request would be refused as unavailable.
+func TestPreviewBeforeRoutes(t *testing.T) {
+	b := newTestbed(t, oneRoute(routes.Stream, 1, false))
+	b.mu.Lock()
+	b.hold = make(chan struct{})
+	b.mu.Unlock()
+	t.Setenv("ENDIVEDECK_OPERATOR_KEY", operatorKey)
+	r := b.newRelayWith("second", "near", func(s *relay.Settings) {
+		s.OperatorKeys = []access.Operator{{Name: "duty", Hash: contract.HashKey(operatorKey)}}
+	})
+	if err := r.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Stop(t.Context()) }()
+	defer close(b.hold)
+	text, status := preview(r, "-host", "crews.example", "-path", "/a/")
+	if want := "refused (unavailable): the relay has not received any routes yet"; status != 0 || !strings.Contains(text, want) {
+		t.Errorf("got exit code %d and\n%swant 0 and %q", status, text, want)
+	}
+	if got := b.sendTo(r, http.MethodPost, "/a/", "", "x"); !strings.HasPrefix(got, "503 ") {
+		t.Errorf("the request: got %s, want status 503", got)
+	}
+}
+
 // TestPreviewIsGuarded checks that only operators get previews, at no address but that of the
 // readiness check, and only where the settings name operators.
 func TestPreviewIsGuarded(t *testing.T) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -54,7 +54,7 @@
 // prepare finds the route of the request and reads its header and body.
 func (r *Relay) prepare(j *job) error {
 	if !r.awaitRoutes(j) {
-		return fault.New(fault.Unavailable, fault.NotRun, "the relay has not received any routes yet")
+		return errNoRoutes()
 	}
 	if err := j.identify(); err != nil {
 		return err
@@ -128,6 +128,11 @@
 	return false
 }
 
+// errNoRoutes returns the error of a request that comes before the first routes.
+func errNoRoutes() error {
+	return fault.New(fault.Unavailable, fault.NotRun, "the relay has not received any routes yet")
+}
+
 // checkStop returns an error if the request must not be begun because the relay is
 // stopping.
 func (j *job) checkStop() error {
