relay: refuse requests that have no time left

A request with Deadline-Ms of 0, below a nanosecond, or NaN ran with all the time that its route allows, though its caller no longer waits.

Found by reading.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,3 +147,20 @@
 		t.Errorf("got the response after %v, want it after the deadline of 300 ms", took)
 	}
 }
+
+// TestNoTimeLeft guards against a request that runs although its caller gives it no time,
+// which was taken for all the time that its route allows.
+func TestNoTimeLeft(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.AtMostOnce, routes.Stream} {
+		servers := twoServers(plainResponse(200, "good"), plainResponse(200, "good"))
+		b := newTestbed(t, oneRoute(kind, 2, false), servers...)
+		for _, deadline := range []string{"0", "0.0000001"} {
+			if got := b.send(http.MethodPost, "/a/", "Deadline-Ms: "+deadline+"\r\n", "x"); !strings.HasPrefix(got, "503 Retry-After=") {
+				t.Errorf("%s, Deadline-Ms %s: got %s, want status 503 with Retry-After", kind, deadline, got)
+			}
+		}
+		if got := servers[0].requestCount() + servers[1].requestCount(); got != 0 {
+			t.Errorf("%s: got %d requests at backend servers, want none", kind, got)
+		}
+	}
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -84,6 +84,9 @@
 		return err
 	}
 	j.deadline = j.start.Add(j.timeout())
+	if !time.Now().Before(j.deadline) {
+		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the request's deadline has passed before it could be sent")
+	}
 	return j.checkStop()
 }
 
