relay: check resumptions of streams whose events begin with 0

A caller could get a resumed stream with events missing: if its events are numbered from 0 on, the next server was believed when it skipped some.

Found by reading.

Change: streamPosition says apart whether the last ID is a number, and numbers begin with 0 or 1.

Red before: TestResumedStreamRepeatsOrSkips ("numbers from 0 on, a gap" and "number 0, a gap" got "complete", want "truncated"). Green after: the tests of relay on resumption and streams.

--- a/relay/internal_test.go
+++ b/relay/internal_test.go
@@ -114,7 +114,7 @@
 	if len(timer.asked) > 0 {
 		t.Error("a server was asked while events were forwarded")
 	}
-	timer.progress(time.Now(), streamPosition{lastID: "1", number: 1, events: 1})
+	timer.progress(time.Now(), streamPosition{lastID: "1", number: 1, numbered: true, events: 1})
 	timer.fire()
 	if len(timer.asked) != 1 || timer.asked[0].opts.LastEventID != "1" {
 		t.Errorf("got %d servers asked, want one, to go on after the events", len(timer.asked))
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -61,7 +61,7 @@
 }
 
 // TestResumedStreamRepeatsOrSkips has the next server go on at another event than the
-// one after the last.
+// one after the last. The number 0 is one like the others.
 func TestResumedStreamRepeatsOrSkips(t *testing.T) {
 	steps := func(ids ...int) string {
 		var events []string
@@ -83,6 +83,11 @@
 		{"a gap", steps(1, 2), streamResponse(event(4)), text(1, 2) + "truncated"},
 		{"a gap after the first event", steps(1), streamResponse(event(3)), text(1) + "truncated"},
 		{"numbers in wider steps", steps(1, 4, 9), streamResponse(event(12)), text(1, 4, 9, 12) + "complete"},
+		{"numbers from 0 on", steps(0, 1), streamResponse(event(2)), text(0, 1, 2) + "complete"},
+		{"numbers from 0 on, a gap", steps(0, 1), streamResponse(event(3)), text(0, 1) + "truncated"},
+		{"number 0, a gap", steps(0), streamResponse(event(2)), text(0) + "truncated"},
+		{"number 0 again", steps(0, 1), streamResponse(event(0), event(1)), text(0, 1) + "truncated"},
+		{"wider steps from 0 on", steps(0, 4), streamResponse(event(6)), text(0, 4, 6) + "complete"},
 		{"wider steps, from the start", steps(4, 9), streamResponse(event(4), event(9)), text(4, 9) + "truncated"},
 		{"no IDs, which leaves no place to go on at", streamResponse("data: a\n\n", "<cut>"), streamResponse("data: a\n\n", "data: b\n\n"), `"data: a\n\n" truncated`},
 		{"last event without an ID", streamResponse(event(1), "data: a\n\n", "<cut>"), streamResponse("data: a\n\n"), `"id: 1\ndata: e1\n\ndata: a\n\n" truncated`},
